--- /dev/null
+++ b/cmd/lavenderrack/entry.go
@@ -0,0 +1,115 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"runtime/debug"
+	"time"
+
+	"lavenderrack.example/lavenderrack/lavconn"
+	"lavenderrack.example/lavenderrack/lavhost"
+	"lavenderrack.example/lavenderrack/platform"
+
+	"github.com/google/subcommands"
+	"github.com/phuslu/log"
+	"github.com/uber-go/tally/v4"
+	"github.com/uber-go/tally/v4/prometheus"
+)
+
+// Bounds of an entry host's process.
+const (
+	// collectPercent lets little garbage gather: memory is priced at its peak.
+	collectPercent = 60
+	// heapPart is the part of the host's memory at which the collector works
+	// harder.
+	heapPart = 0.7
+	// logLines is how many lines wait for the log; more are dropped.
+	logLines = 4096
+)
+
+// entryCommand runs an entry host on the users' platform.
+type entryCommand struct {
+	streams
+}
+
+func (*entryCommand) Name() string     { return "entry" }
+func (*entryCommand) Synopsis() string { return "run an entry host on the platform" }
+func (*entryCommand) Usage() string {
+	return `entry
+  Run an entry host by the platform's settings file until SIGTERM, then drain it.
+
+`
+}
+
+func (*entryCommand) SetFlags(*flag.FlagSet) {}
+
+func (c *entryCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if err := c.checkFlags(f); err != nil {
+		return c.usage("entry: %v", err)
+	}
+	path, err := platform.SettingsPath()
+	if err != nil {
+		return c.fail(err, subcommands.ExitUsageError)
+	}
+	settings, err := platform.LoadSettings(path)
+	if err != nil {
+		return c.fail(err, subcommands.ExitUsageError)
+	}
+	if err := runEntry(ctx, settings); err != nil {
+		return c.fail(err, subcommands.ExitFailure)
+	}
+	return subcommands.ExitSuccess
+}
+
+// runEntry runs an entry host until the context ends.
+func runEntry(ctx context.Context, s platform.Settings) error {
+	debug.SetGCPercent(collectPercent)
+	debug.SetMemoryLimit(int64(float64(s.MemoryBytes) * heapPart))
+	lines := &log.AsyncWriter{ChannelSize: logLines, DiscardOnFull: true, Writer: &log.IOWriter{Writer: os.Stdout}}
+	defer func() { _ = lines.Close() }()
+	reporter := prometheus.NewReporter(prometheus.Options{})
+	scope, metrics := tally.NewRootScope(tally.ScopeOptions{
+		Prefix:                 "lavenderrack",
+		Separator:              prometheus.DefaultSeparator,
+		SanitizeOptions:        &prometheus.DefaultSanitizerOpts,
+		OmitCardinalityMetrics: true,
+		CachedReporter:         reporter,
+	}, reportMetrics)
+	defer func() { _ = metrics.Close() }()
+	host := lavhost.New(s, lavhost.Edges{
+		Listen:  listenTCP,
+		Dial:    lavconn.Dial,
+		Peers:   &http.Client{Transport: quickTransport()},
+		Store:   platform.NewStore(&http.Client{Transport: quickTransport()}, s.Store.Address),
+		Clock:   lavhost.SuspendedTime,
+		Logger:  &log.Logger{Level: log.InfoLevel, Writer: lines},
+		Scope:   scope,
+		Metrics: reporter.HTTPHandler(),
+	})
+	return host.Serve(ctx)
+}
+
+// quickTransport returns a transport that notices soon when its peer is gone.
+func quickTransport() *http.Transport {
+	return &http.Transport{
+		DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
+			at, err := netip.ParseAddrPort(address)
+			if err != nil {
+				return nil, err
+			}
+			return lavconn.Dial(ctx, at)
+		},
+		MaxIdleConnsPerHost: 2,
+		IdleConnTimeout:     10 * time.Second,
+		DisableCompression:  true,
+	}
+}
+
+func listenTCP(at netip.AddrPort) (net.Listener, error) {
+	var l net.ListenConfig
+	return l.Listen(context.Background(), "tcp4", at.String())
+}
--- a/cmd/lavenderrack/main.go
+++ b/cmd/lavenderrack/main.go
@@ -27,6 +27,7 @@
 const explanation = `lavenderrack runs an entry host of a serving layer and serves its operators.
 
   lavenderrack serve -settings FILE                   run an entry host
+  lavenderrack entry                                  run an entry host on the platform
   lavenderrack check -settings FILE                   check settings
   lavenderrack check -note FILE -store URL            check a release note
   lavenderrack publish -note FILE -store URL          publish a release note
@@ -51,6 +52,7 @@
 	streams := streams{out: out, errs: errs}
 	commander.Register(commander.HelpCommand(), "")
 	commander.Register(&serveCommand{streams: streams}, "")
+	commander.Register(&entryCommand{streams: streams}, "")
 	commander.Register(&checkCommand{streams: streams}, "")
 	commander.Register(&publishCommand{streams: streams}, "")
 	commander.Register(&statusCommand{streams: streams}, "")
--- /dev/null
+++ b/lavconfig/endpoint.go
@@ -0,0 +1,32 @@
+package lavconfig
+
+import (
+	"net/netip"
+	"time"
+)
+
+// Endpoint is what an endpoint says of itself in its entry.
+type Endpoint struct {
+	// ID names the endpoint; together with Born it names one life of it.
+	ID            string
+	Born          time.Time
+	Service       string
+	Address       netip.AddrPort
+	FailureDomain string
+	Slots         int
+	// Leaving endpoints finish what they have and take no more.
+	Leaving bool
+	// ColdFor is how much longer the endpoint was cold as the entry was
+	// written.
+	ColdFor time.Duration
+}
+
+// Life names one life of an endpoint.
+type Life struct {
+	ID string `cbor:"1,keyasint"`
+	// Born is the start in Unix milliseconds.
+	Born int64 `cbor:"2,keyasint"`
+}
+
+// Life returns the name of this life.
+func (e *Endpoint) Life() Life { return Life{ID: e.ID, Born: e.Born.UnixMilli()} }
--- /dev/null
+++ b/lavfleet/fleet.go
@@ -0,0 +1,243 @@
+package lavfleet
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	"lavenderrack.example/lavenderrack/lavconfig"
+	"lavenderrack.example/lavenderrack/lavplan"
+)
+
+const (
+	// loadTimeout is how long what a peer told of its work holds. A peer that
+	// runs tells it many times in this time.
+	loadTimeout = 1500 * time.Millisecond
+	// coldWindow is a second and some time for requests to arrive late.
+	coldWindow = 1200 * time.Millisecond
+)
+
+// Bounds are what all hosts together keep to.
+type Bounds struct {
+	Retry BudgetBounds
+	// ColdFactor and ColdSlack turn an endpoint's own figure into the bound on
+	// the requests that it gets in a second while it is cold.
+	ColdFactor float64
+	ColdSlack  float64
+}
+
+// Fleet is the endpoints in service and the work on them. It is safe for
+// concurrent use.
+type Fleet struct {
+	bounds Bounds
+
+	mu        sync.Mutex
+	endpoints map[lavconfig.Life]*state
+	services  map[string]*service
+	out       map[string]bool
+	peers     map[string]peerLoad
+	hosts     int
+}
+
+// service is the endpoints of one service, in order of their IDs.
+type service struct {
+	lavconfig.Service
+	endpoints []*state
+	budget    *budget
+}
+
+// state is an endpoint and what is known of it.
+type state struct {
+	lavconfig.Endpoint
+	own   lavplan.Load
+	peers lavplan.Load
+	sent  window
+	doubt doubt
+}
+
+type peerLoad struct {
+	at    time.Time
+	loads map[lavconfig.Life]lavplan.Load
+}
+
+// New returns a fleet without endpoints.
+func New(bounds Bounds) *Fleet {
+	return &Fleet{
+		bounds:    bounds,
+		endpoints: make(map[lavconfig.Life]*state),
+		services:  make(map[string]*service),
+		out:       make(map[string]bool),
+		peers:     make(map[string]peerLoad),
+		hosts:     1,
+	}
+}
+
+// Update replaces the services, the endpoints and the failure domains that are
+// out of service. What is known of endpoints that stay is kept.
+func (f *Fleet) Update(services []lavconfig.Service, endpoints []lavconfig.Endpoint, out []string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.updateServices(services)
+	f.out = make(map[string]bool, len(out))
+	for _, domain := range out {
+		f.out[domain] = true
+	}
+	known := make(map[lavconfig.Life]*state, len(endpoints))
+	for _, e := range endpoints {
+		s := f.endpoints[e.Life()]
+		if s == nil {
+			s = &state{sent: window{span: coldWindow}}
+		}
+		s.Endpoint = e
+		known[e.Life()] = s
+		if svc := f.services[e.Service]; svc != nil {
+			svc.endpoints = append(svc.endpoints, s)
+		}
+	}
+	f.endpoints = known
+	for _, svc := range f.services {
+		slices.SortFunc(svc.endpoints, func(a, b *state) int { return cmp.Compare(a.ID, b.ID) })
+	}
+	f.sumPeers()
+}
+
+func (f *Fleet) updateServices(services []lavconfig.Service) {
+	next := make(map[string]*service, len(services))
+	for _, s := range services {
+		b := newBudget(f.bounds.Retry.Window)
+		if had := f.services[s.Name]; had != nil {
+			b = had.budget
+		}
+		next[s.Name] = &service{Service: s, budget: b}
+	}
+	f.services = next
+}
+
+// SetHosts tells how many hosts may send work, this one included.
+func (f *Fleet) SetHosts(n int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.hosts = max(n, 1)
+}
+
+// Hear takes over what a peer has running.
+func (f *Fleet) Hear(peer string, loads map[lavconfig.Life]lavplan.Load) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.peers[peer] = peerLoad{at: time.Now(), loads: loads}
+	f.sumPeers()
+}
+
+// sumPeers adds up what the peers told lately. The caller holds the lock.
+func (f *Fleet) sumPeers() {
+	for _, s := range f.endpoints {
+		s.peers = lavplan.Load{}
+	}
+	now := time.Now()
+	for peer, told := range f.peers {
+		if now.Sub(told.at) > loadTimeout {
+			delete(f.peers, peer)
+			continue
+		}
+		for life, load := range told.loads {
+			if s := f.endpoints[life]; s != nil {
+				s.peers = s.peers.Plus(load)
+			}
+		}
+	}
+}
+
+// Own returns what this host has running, by endpoint.
+func (f *Fleet) Own() map[lavconfig.Life]lavplan.Load {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	own := make(map[lavconfig.Life]lavplan.Load)
+	for life, s := range f.endpoints {
+		if !s.own.Zero() {
+			own[life] = s.own
+		}
+	}
+	return own
+}
+
+// InService reports whether an endpoint may take new requests.
+func (f *Fleet) InService(life lavconfig.Life) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s := f.endpoints[life]
+	return s != nil && f.serves(s)
+}
+
+func (f *Fleet) serves(s *state) bool { return !s.Leaving && !f.out[s.FailureDomain] }
+
+// Request counts a request to a service, for its retry budget.
+func (f *Fleet) Request(name string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if svc := f.services[name]; svc != nil {
+		svc.budget.requests.add(time.Now())
+	}
+}
+
+// SpendRepeat takes one repeat from a service's retry budget, or reports false.
+func (f *Fleet) SpendRepeat(name string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	svc := f.services[name]
+	return svc != nil && svc.budget.spend(time.Now(), f.bounds.Retry, f.hosts)
+}
+
+// Board is the endpoints of a service that may take a request now.
+type Board struct {
+	Service    lavconfig.Service
+	Endpoints  []lavconfig.Endpoint
+	Candidates []lavplan.Candidate
+	// Bound is true if endpoints were left out because they may be cold and
+	// have got this host's part of what they bear.
+	Bound bool
+}
+
+// Board returns the endpoints of a service but for those that skip names. It
+// returns false for an unknown service.
+func (f *Fleet) Board(name string, skip func(lavconfig.Life) bool) (Board, bool) {
+	now := time.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	svc := f.services[name]
+	if svc == nil {
+		return Board{}, false
+	}
+	b := Board{Service: svc.Service}
+	share := f.coldShare(svc)
+	for _, s := range svc.endpoints {
+		if !f.serves(s) || skip(s.Life()) {
+			continue
+		}
+		if s.sent.count(now) >= share {
+			b.Bound = true
+			continue
+		}
+		b.Endpoints = append(b.Endpoints, s.Endpoint)
+		b.Candidates = append(b.Candidates, lavplan.Candidate{
+			Load:     s.own.Plus(s.peers),
+			Slots:    s.Slots,
+			Doubtful: s.doubt.holds(now),
+		})
+	}
+	return b, true
+}
+
+// unbounded is the share of a service whose endpoints are never cold.
+const unbounded = 1 << 30
+
+// coldShare returns how many requests this host may send an endpoint in a
+// second. The bound holds for warm endpoints too, since one turns cold without
+// a word.
+func (f *Fleet) coldShare(svc *service) int {
+	if svc.ColdTime <= 0 {
+		return unbounded
+	}
+	bears := svc.ColdPerSecond*f.bounds.ColdFactor + f.bounds.ColdSlack
+	return max(int(bears)/f.hosts, 1)
+}
--- /dev/null
+++ b/lavfleet/run.go
@@ -0,0 +1,104 @@
+package lavfleet
+
+import (
+	"time"
+
+	"lavenderrack.example/lavenderrack/lavconfig"
+	"lavenderrack.example/lavenderrack/lavplan"
+)
+
+// Part is what a run puts on one endpoint.
+type Part struct {
+	Life lavconfig.Life
+	Load lavplan.Load
+}
+
+// Run is one request at its endpoints, from before it is sent to its end. Its
+// methods are called by one goroutine at a time.
+type Run struct {
+	fleet *Fleet
+	parts []Part
+}
+
+// Begin counts a run. The first part is the endpoint that gets the request.
+// It returns nil if that endpoint may not take it any more.
+func (f *Fleet) Begin(parts []Part) *Run {
+	now := time.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	first := f.endpoints[parts[0].Life]
+	if first == nil || !f.serves(first) {
+		return nil
+	}
+	if svc := f.services[first.Service]; svc != nil && first.sent.count(now) >= f.coldShare(svc) {
+		return nil
+	}
+	first.sent.add(now)
+	r := &Run{fleet: f, parts: parts}
+	for _, p := range parts {
+		r.add(p.Life, p.Load)
+	}
+	return r
+}
+
+func (r *Run) add(life lavconfig.Life, load lavplan.Load) {
+	if s := r.fleet.endpoints[life]; s != nil {
+		s.own = s.own.Plus(load)
+	}
+}
+
+// Started tells that the prompt has been read: the first event came.
+func (r *Run) Started() {
+	r.fleet.mu.Lock()
+	defer r.fleet.mu.Unlock()
+	for i := range r.parts {
+		p := &r.parts[i]
+		r.add(p.Life, lavplan.Load{Reading: -p.Load.Reading})
+		p.Load.Reading = 0
+	}
+}
+
+// End counts the run off. Good tells whether the endpoint did its part.
+func (r *Run) End(good Verdict) {
+	now := time.Now()
+	r.fleet.mu.Lock()
+	defer r.fleet.mu.Unlock()
+	for _, p := range r.parts {
+		r.add(p.Life, lavplan.Load{}.Minus(p.Load))
+	}
+	s := r.fleet.endpoints[r.parts[0].Life]
+	if s == nil {
+		return
+	}
+	switch good {
+	case VerdictGood:
+		s.doubt.clear()
+	case VerdictBad:
+		s.doubt.fail(now)
+	case VerdictNone:
+	}
+}
+
+// Doubt passes an endpoint over for a while.
+func (f *Fleet) Doubt(life lavconfig.Life) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if s := f.endpoints[life]; s != nil {
+		s.doubt.fail(time.Now())
+	}
+}
+
+//go:generate stringer -type=Verdict -trimprefix=Verdict -output=verdict_string.go
+
+// Verdict is what a run tells of its endpoint.
+type Verdict int
+
+// The verdicts.
+const (
+	// VerdictNone tells nothing, as when the caller left.
+	VerdictNone Verdict = iota
+	// VerdictGood means that the endpoint answered.
+	VerdictGood
+	// VerdictBad means that the endpoint failed or fell silent.
+	VerdictBad
+)
--- /dev/null
+++ b/lavhost/control.go
@@ -0,0 +1,167 @@
+package lavhost
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"lavenderrack.example/lavenderrack/lavmirror"
+	"lavenderrack.example/lavenderrack/lavstore"
+	"lavenderrack.example/lavenderrack/platform"
+
+	"github.com/cockroachdb/errors"
+	"github.com/phuslu/log"
+)
+
+// Times of following the store. A change must be in force two seconds after the
+// store has acknowledged it.
+const (
+	// batchTime lets changes gather, since each answer is a priced call.
+	batchTime = 400 * time.Millisecond
+	// watchTime bounds a watch, so that a silent connection is noticed.
+	watchTime = 1200 * time.Millisecond
+	// callTime bounds a call, and a watch beyond its wait.
+	callTime = 900 * time.Millisecond
+	// retryTime is the pause after a failed call.
+	retryTime = 250 * time.Millisecond
+	// lapseTime is how long the store must be away for entries of endpoints
+	// that live to lapse.
+	lapseTime = 2 * time.Second
+)
+
+// Source is the part of the store that a host follows.
+type Source interface {
+	List(ctx context.Context, prefix string) ([]lavmirror.Entry, lavstore.Revision, error)
+	Changes(ctx context.Context, prefix string, after lavstore.Revision, wait time.Duration) ([]lavmirror.Entry, lavstore.Revision, error)
+}
+
+// control follows the store.
+type control struct {
+	source    Source
+	knowledge *knowledge
+	belief    *belief
+	logger    *log.Logger
+	// tell spreads news that matter.
+	tell func(news []lavmirror.Entry, settled bool)
+
+	mu sync.Mutex
+	// heard is when the store last answered, and awaySince when it began to
+	// fail; backAt is when it last came back after a long time.
+	heard     time.Time
+	awaySince time.Time
+	backAt    time.Time
+}
+
+// Serve implements suture.Service.
+func (c *control) Serve(ctx context.Context) error {
+	var after lavstore.Revision
+	for ctx.Err() == nil {
+		era, good := c.belief.check()
+		next, err := c.step(ctx, era, after, good)
+		c.note(err)
+		if err == nil {
+			after = next
+			sleep(ctx, batchTime)
+			continue
+		}
+		if errors.Is(err, platform.ErrHistoryGone) {
+			after = 0
+			continue
+		}
+		sleep(ctx, retryTime)
+	}
+	return ctx.Err()
+}
+
+// step makes one call and takes over what it tells. A host that doubts what it
+// knows doesn't wait for a change.
+func (c *control) step(ctx context.Context, era uint64, after lavstore.Revision, good bool) (lavstore.Revision, error) {
+	wait := watchTime
+	if !good {
+		wait = 0
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait+callTime)
+	defer cancel()
+	var news []lavmirror.Entry
+	var next lavstore.Revision
+	var err error
+	if after == 0 {
+		var all []lavmirror.Entry
+		all, next, err = c.source.List(ctx, "")
+		if err != nil {
+			return after, err
+		}
+		news = c.knowledge.replace(all, next, c.settled())
+	} else {
+		var changed []lavmirror.Entry
+		changed, next, err = c.source.Changes(ctx, "", after, wait)
+		if err != nil {
+			return after, err
+		}
+		news = c.knowledge.apply(changed, c.settled())
+	}
+	if c.belief.confirm(era) {
+		c.logger.Info().Uint64("Revision", uint64(next)).Msg("knowledge confirmed by the store")
+	}
+	if len(news) > 0 {
+		c.tell(news, c.settled())
+	}
+	return next, nil
+}
+
+// note keeps when the store answered and when not.
+func (c *control) note(err error) {
+	now := time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if err != nil && !errors.Is(err, platform.ErrHistoryGone) {
+		if c.awaySince.IsZero() {
+			c.awaySince = now
+			c.logger.Warn().Err(err).Msg("store lost")
+		}
+		return
+	}
+	if !c.awaySince.IsZero() {
+		c.logger.Info().Dur("Away", now.Sub(c.awaySince)).Msg("store regained")
+		if now.Sub(c.awaySince) > lapseTime {
+			c.backAt = now
+		}
+	}
+	c.awaySince = time.Time{}
+	c.heard = now
+}
+
+// away reports whether the store fails.
+func (c *control) away() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.awaySince.IsZero()
+}
+
+// settled reports whether an entry that goes is gone: the store has not been
+// away for long, and it is not just back.
+func (c *control) settled() bool {
+	now := time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.awaySince.IsZero() && now.Sub(c.awaySince) > lapseTime {
+		return false
+	}
+	return c.backAt.IsZero() || now.Sub(c.backAt) > returnTime
+}
+
+// fresh reports whether the store answered lately.
+func (c *control) fresh() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.heard.IsZero() && time.Since(c.heard) < watchTime+callTime
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/lavhost/directory.go
@@ -0,0 +1,58 @@
+package lavhost
+
+import (
+	"math/rand/v2"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"lavenderrack.example/lavenderrack/lavmember"
+	"lavenderrack.example/lavenderrack/platform"
+)
+
+// directoryTTL is how long callers keep an answer; some keep it three times as
+// long.
+const directoryTTL = 1500 * time.Millisecond
+
+// directory tells callers where to connect.
+type directory struct {
+	peers *peers
+}
+
+// ServeHTTP implements http.Handler.
+func (d *directory) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path != platform.PathResolve {
+		http.NotFound(w, r)
+		return
+	}
+	q := platform.DecodeQuestion(r.URL.Query())
+	addresses := choose(d.peers.Alive(), q.FailureDomain)
+	if len(addresses) == 0 {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	body, err := platform.EncodeDirectory(addresses, directoryTTL)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(body)
+}
+
+// choose returns the addresses for a caller in a failure domain. All hosts are
+// named as long as they fit, since few hosts may stand near many callers; of
+// more, the near ones come first and others are drawn at random.
+func choose(alive []lavmember.Member, domain string) []netip.AddrPort {
+	rand.Shuffle(len(alive), func(i, j int) { alive[i], alive[j] = alive[j], alive[i] })
+	var near, far []netip.AddrPort
+	for _, m := range alive {
+		if m.FailureDomain == domain {
+			near = append(near, m.Entry)
+		} else {
+			far = append(far, m.Entry)
+		}
+	}
+	all := append(near, far...)
+	return all[:min(len(all), platform.MaxAddresses)]
+}
--- /dev/null
+++ b/lavhost/drain.go
@@ -0,0 +1,66 @@
+package lavhost
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"lavenderrack.example/lavenderrack/lavconfig"
+)
+
+// Times of a planned stop.
+const (
+	// drainMargin is left of the grace for the end of the process.
+	drainMargin = 600 * time.Millisecond
+	// lingerTime is how long a leaving host goes on listening without requests:
+	// callers may keep a directory answer three times its validity.
+	lingerTime = 3 * directoryTTL
+	// drainLook is the time between looks whether the last request has ended.
+	drainLook = 50 * time.Millisecond
+	// streamTime is what a stream is expected to take.
+	streamTime = 4 * time.Second
+)
+
+// drain is a planned stop of the host.
+type drain struct {
+	grace time.Duration
+	since atomic.Int64
+}
+
+func (d *drain) begin() { d.since.Store(time.Now().UnixNano()) }
+
+func (d *drain) begun() bool { return d.since.Load() != 0 }
+
+// left returns how much of the grace is left.
+func (d *drain) left() time.Duration {
+	since := d.since.Load()
+	if since == 0 {
+		return d.grace
+	}
+	return d.grace - drainMargin - time.Duration(time.Now().UnixNano()-since)
+}
+
+// tooLate reports whether a request of a route is not expected to end within
+// the grace.
+func (d *drain) tooLate(r *lavconfig.Route) bool {
+	if !d.begun() {
+		return false
+	}
+	need := min(r.Timeout, streamTime)
+	if r.Kind != lavconfig.KindStreaming {
+		need = min(r.Timeout, 2*r.Objective)
+	}
+	return d.left() < need
+}
+
+// wait returns once the running requests have ended and no new ones are to be
+// expected, or at the end of the grace.
+func (d *drain) wait(ctx context.Context, i *ingress) {
+	begun := time.Now()
+	for d.left() > 0 && ctx.Err() == nil {
+		if time.Since(begun) > lingerTime && i.running.Load() == 0 {
+			return
+		}
+		sleep(ctx, drainLook)
+	}
+}
--- /dev/null
+++ b/lavhost/host.go
@@ -0,0 +1,234 @@
+package lavhost
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"lavenderrack.example/lavenderrack/lavconn"
+	"lavenderrack.example/lavenderrack/lavfleet"
+	"lavenderrack.example/lavenderrack/lavmember"
+	"lavenderrack.example/lavenderrack/lavmesh"
+	"lavenderrack.example/lavenderrack/lavmirror"
+	"lavenderrack.example/lavenderrack/lavrelay"
+	"lavenderrack.example/lavenderrack/lavretry"
+	"lavenderrack.example/lavenderrack/platform"
+
+	"github.com/cockroachdb/errors"
+	"github.com/phuslu/log"
+	"github.com/thejerf/suture/v4"
+	"github.com/uber-go/tally/v4"
+)
+
+// idlePerEndpoint bounds the idle connections to one endpoint.
+const idlePerEndpoint = 8
+
+// Store is the platform's store, as far as a host needs it.
+type Store interface {
+	Source
+	Leases
+}
+
+// Edges are what a host meets of the world around it.
+type Edges struct {
+	Listen func(netip.AddrPort) (net.Listener, error)
+	Dial   lavconn.Dialer
+	// Peers is the client that dials the peers.
+	Peers  *http.Client
+	Store  Store
+	Clock  Clock
+	Logger *log.Logger
+	Scope  tally.Scope
+	// Metrics answers with the counters, nil if they are not served.
+	Metrics http.Handler
+}
+
+// Host is one entry host.
+type Host struct {
+	settings  platform.Settings
+	edges     Edges
+	belief    *belief
+	knowledge *knowledge
+	control   *control
+	peers     *peers
+	mesh      *lavmesh.Mesh
+	pool      *lavconn.Pool
+	fleet     *lavfleet.Fleet
+	ingress   *ingress
+	drain     *drain
+}
+
+// New returns a host that is to run by those settings.
+func New(s platform.Settings, e Edges) *Host {
+	h := &Host{settings: s, edges: e, belief: newBelief(e.Clock), drain: &drain{grace: s.Bounds.Grace}}
+	h.fleet = lavfleet.New(lavfleet.Bounds{
+		Retry: lavfleet.BudgetBounds{
+			Ratio:  s.Bounds.RetryRatio,
+			Window: s.Bounds.RetryWindow,
+			Burst:  s.Bounds.RetryBurst,
+		},
+		ColdFactor: s.Bounds.ColdFactor,
+		ColdSlack:  s.Bounds.ColdSlack,
+	})
+	h.knowledge = newKnowledge(lavmirror.New(), h.fleet, e.Logger)
+	h.pool = lavconn.New(e.Dial, idlePerEndpoint)
+	h.addPeers()
+	h.addIngress()
+	return h
+}
+
+func (h *Host) addPeers() {
+	s := h.settings
+	self := lavmember.Member{
+		Incarnation:   fmt.Sprintf("%s-%x", s.Host, rand.Uint64()),
+		Host:          s.Host,
+		FailureDomain: s.FailureDomain,
+		Entry:         s.Callers,
+		Mesh:          s.Peers,
+	}
+	h.peers = &peers{
+		fleet:       h.fleet,
+		knowledge:   h.knowledge,
+		belief:      h.belief,
+		logger:      h.edges.Logger,
+		seeds:       s.Seeds,
+		changedSelf: make(chan struct{}, 1),
+		self:        self,
+		all:         make(map[string]*peer),
+		view:        &lavmember.View{Members: []lavmember.Member{self}},
+	}
+	h.mesh = lavmesh.New(h.peers, h.edges.Peers)
+	h.mesh.SetPace(meshPace)
+	h.mesh.Count(h.edges.Scope)
+	h.peers.mesh = h.mesh
+	h.control = &control{
+		source:    h.edges.Store,
+		knowledge: h.knowledge,
+		belief:    h.belief,
+		logger:    h.edges.Logger,
+		tell:      h.peers.tell,
+	}
+	h.peers.control = h.control
+	h.mesh.Handle(lavmesh.TopicBeat, h.peers.hearBeat)
+	h.mesh.Handle(lavmesh.TopicNews, h.peers.hearNews)
+	h.mesh.Handle(lavmesh.TopicEntries, h.peers.giveEntries)
+}
+
+func (h *Host) addIngress() {
+	doubted := &suspects{mesh: h.mesh, dial: h.edges.Dial, logger: h.edges.Logger, guard: lavretry.NewGuard()}
+	h.mesh.Handle(lavmesh.TopicQuarantine, doubted.hear)
+	h.ingress = &ingress{
+		knowledge: h.knowledge,
+		belief:    h.belief,
+		current:   h.current,
+		relay:     lavrelay.New(h.pool, h.fleet, h.belief, doubted, h.edges.Logger, h.edges.Scope, rand.Float64),
+		drain:     h.drain,
+		logger:    h.edges.Logger,
+	}
+}
+
+// current reports whether this host hears the store, or a peer that does.
+func (h *Host) current() bool { return h.control.fresh() || h.peers.informed() }
+
+// Serve runs the host until the context ends, then drains it and returns.
+func (h *Host) Serve(ctx context.Context) error {
+	h.edges.Logger.Info().Str("Host", h.settings.Host).Str("Incarnation", h.peers.Self().Incarnation).Msg("start")
+	tree := suture.New("lavenderrack", suture.Spec{EventHook: h.supervised})
+	running, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	if err := h.listen(tree); err != nil {
+		return err
+	}
+	tree.Add(h.control)
+	tree.Add(h.peers)
+	tree.Add(h.mesh)
+	tree.Add(&membership{leases: h.edges.Store, peers: h.peers, logger: h.edges.Logger})
+	tree.Add(&sweeper{pool: h.pool, knowledge: h.knowledge})
+	ended := tree.ServeBackground(running)
+	select {
+	case <-ctx.Done():
+	case err := <-ended:
+		return err
+	}
+	h.stop(running)
+	stop()
+	err := <-ended
+	h.edges.Logger.Info().Msg("stop")
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
+
+// stop drains the host.
+func (h *Host) stop(ctx context.Context) {
+	h.edges.Logger.Info().Int64("Running", h.ingress.running.Load()).Msg("drain")
+	h.drain.begin()
+	h.peers.Leave()
+	h.drain.wait(ctx, h.ingress)
+	h.edges.Logger.Info().Int64("Running", h.ingress.running.Load()).Msg("drained")
+}
+
+func (h *Host) supervised(e suture.Event) {
+	h.edges.Logger.Warn().Str("Event", e.String()).Msg("supervisor")
+}
+
+// ready answers the platform's question whether the host may take requests.
+func (h *Host) ready(w http.ResponseWriter, r *http.Request) {
+	_, good := h.belief.check()
+	if r.URL.Path != platform.PathReady || !good || h.knowledge.Index() == nil || h.drain.begun() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// listen opens all listeners before any part runs, so that a port that is taken
+// ends the process at once.
+func (h *Host) listen(tree *suture.Supervisor) error {
+	mesh := http.NewServeMux()
+	mesh.Handle(lavmesh.Path, h.mesh)
+	if h.edges.Metrics != nil {
+		mesh.Handle("/metrics", h.edges.Metrics)
+	}
+	faces := []struct {
+		name    string
+		at      netip.AddrPort
+		handler http.Handler
+	}{
+		{"callers", h.settings.Callers, h.ingress},
+		{"readiness", h.settings.Readiness, http.HandlerFunc(h.ready)},
+		{"directory", h.settings.Directory, &directory{peers: h.peers}},
+		{"peers", h.settings.Peers, mesh},
+	}
+	for _, f := range faces {
+		l, err := h.edges.Listen(f.at)
+		if err != nil {
+			return errors.Wrapf(err, "listen for %s", f.name)
+		}
+		tree.Add(&face{name: f.name, listener: l, handler: f.handler, logger: h.edges.Logger})
+	}
+	return nil
+}
+
+// sweepTime is the time between looks for connections that are of no more use.
+const sweepTime = time.Second
+
+// sweeper closes idle connections.
+type sweeper struct {
+	pool      *lavconn.Pool
+	knowledge *knowledge
+}
+
+// Serve implements suture.Service.
+func (s *sweeper) Serve(ctx context.Context) error {
+	for ctx.Err() == nil {
+		sleep(ctx, sweepTime)
+		s.pool.Sweep(s.knowledge.Serves)
+	}
+	return ctx.Err()
+}
--- /dev/null
+++ b/lavhost/peers.go
@@ -0,0 +1,368 @@
+package lavhost
+
+import (
+	"cmp"
+	"context"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"lavenderrack.example/lavenderrack/lavconfig"
+	"lavenderrack.example/lavenderrack/lavfleet"
+	"lavenderrack.example/lavenderrack/lavmember"
+	"lavenderrack.example/lavenderrack/lavmesh"
+	"lavenderrack.example/lavenderrack/lavmirror"
+	"lavenderrack.example/lavenderrack/lavplan"
+
+	"github.com/phuslu/log"
+)
+
+// Times of the peers.
+const (
+	beatTime = 100 * time.Millisecond
+	// aliveTime is how long a peer counts as alive without a beat.
+	aliveTime = 2 * time.Second
+	// newTime is how long a member of whom no beat was heard yet is believed
+	// to live because the store says so.
+	newTime = 3 * time.Second
+	// differTime is how long a peer may know other things before it is asked.
+	differTime = 500 * time.Millisecond
+	pullTime   = 700 * time.Millisecond
+	// spareHosts may be added to those that are known at any time.
+	spareHosts = 2
+	// leastHosts are assumed to exist, also while few are known.
+	leastHosts = 9
+)
+
+// meshPace lets a silent link be noticed within the times above.
+var meshPace = lavmesh.Pace{
+	Ping:    400 * time.Millisecond,
+	Silence: 1300 * time.Millisecond,
+	Tend:    250 * time.Millisecond,
+	Dial:    500 * time.Millisecond,
+}
+
+// beat is what a host tells its peers all the time.
+type beat struct {
+	Member lavmember.Member `cbor:"1,keyasint"`
+	// Digest names what the host knows, and Good says that it may act on it.
+	Digest uint64     `cbor:"2,keyasint"`
+	Good   bool       `cbor:"3,keyasint"`
+	Loads  []lifeLoad `cbor:"4,keyasint,omitempty"`
+	// Fresh says that the host hears the store.
+	Fresh bool `cbor:"5,keyasint,omitempty"`
+}
+
+type lifeLoad struct {
+	Life lavconfig.Life `cbor:"1,keyasint"`
+	Load lavplan.Load   `cbor:"2,keyasint"`
+}
+
+// news are entries that have changed.
+type news struct {
+	Entries []lavmirror.Entry `cbor:"1,keyasint"`
+	// Settled says that entries that went are gone.
+	Settled bool `cbor:"2,keyasint"`
+}
+
+// entries is a peer's answer with all it knows.
+type entries struct {
+	Entries []lavmirror.Entry `cbor:"1,keyasint"`
+	Good    bool              `cbor:"2,keyasint"`
+	Settled bool              `cbor:"3,keyasint"`
+}
+
+// peer is what is known of a peer.
+type peer struct {
+	member lavmember.Member
+	heard  time.Time
+	// seen is when the peer was first known.
+	seen time.Time
+	good bool
+	// fresh says that the peer hears the store.
+	fresh bool
+	// differs is since when the peer has known other things than this host.
+	differs time.Time
+}
+
+// peers knows the other hosts, tells them of this one and hears of them. It is
+// the mesh's view of the members.
+type peers struct {
+	mesh      *lavmesh.Mesh
+	fleet     *lavfleet.Fleet
+	knowledge *knowledge
+	belief    *belief
+	control   *control
+	logger    *log.Logger
+	seeds     []netip.AddrPort
+	// changedSelf wakes the keeper of this host's entry.
+	changedSelf chan struct{}
+
+	mu   sync.Mutex
+	self lavmember.Member
+	all  map[string]*peer
+	view *lavmember.View
+}
+
+// Self implements lavmesh.Views.
+func (p *peers) Self() lavmember.Member {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.self
+}
+
+// View implements lavmesh.Views.
+func (p *peers) View() *lavmember.View {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.view
+}
+
+// Full implements lavmesh.Introducer: until a peer is known the seeds are tried.
+func (p *peers) Full() *lavmember.View {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.view.Members) > 1 {
+		return p.view
+	}
+	members := slices.Clone(p.view.Members)
+	for _, seed := range p.seeds {
+		if seed != p.self.Mesh {
+			members = append(members, lavmember.Member{Incarnation: "seed-" + seed.String(), Host: seed.String(), Mesh: seed})
+		}
+	}
+	return &lavmember.View{Members: members}
+}
+
+// Met implements lavmesh.Introducer.
+func (p *peers) Met(m lavmember.Member) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.know(m)
+	p.rebuild()
+}
+
+// Unreachable implements lavmesh.Introducer. Beats tell who lives.
+func (p *peers) Unreachable(string) {}
+
+// know returns the entry of a peer. One that has restarted at an address takes
+// the place of its former life. The caller holds the lock.
+func (p *peers) know(m lavmember.Member) *peer {
+	if m.Incarnation == p.self.Incarnation {
+		return nil
+	}
+	known := p.all[m.Incarnation]
+	if known == nil {
+		known = &peer{seen: time.Now()}
+		p.all[m.Incarnation] = known
+	}
+	known.member = m
+	return known
+}
+
+// rebuild makes the view anew. The caller holds the lock.
+func (p *peers) rebuild() {
+	now := time.Now()
+	members := []lavmember.Member{p.self}
+	for id, known := range p.all {
+		if p.lives(known, now) {
+			members = append(members, known.member)
+		} else if now.Sub(known.seen) > newTime {
+			delete(p.all, id)
+		}
+	}
+	slices.SortFunc(members, func(a, b lavmember.Member) int { return cmp.Compare(a.Incarnation, b.Incarnation) })
+	p.view = &lavmember.View{Members: members}
+	p.fleet.SetHosts(max(len(members)+spareHosts, leastHosts))
+}
+
+// lives reports whether a peer may be alive.
+func (p *peers) lives(known *peer, now time.Time) bool {
+	if known.heard.IsZero() {
+		return now.Sub(known.seen) < newTime
+	}
+	return now.Sub(known.heard) < aliveTime
+}
+
+// Leave tells the others that this host drains.
+func (p *peers) Leave() {
+	p.mu.Lock()
+	p.self.Leaving = true
+	p.rebuild()
+	p.mu.Unlock()
+	select {
+	case p.changedSelf <- struct{}{}:
+	default:
+	}
+}
+
+// Serve implements suture.Service: it tells the peers of this host and looks
+// after what the store says of them.
+func (p *peers) Serve(ctx context.Context) error {
+	tick := time.NewTicker(beatTime)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-tick.C:
+		}
+		p.listed()
+		p.knowledge.tick(p.control.away())
+		p.sendBeat()
+		p.compare(ctx)
+	}
+}
+
+// listed takes over the members that the store names.
+func (p *peers) listed() {
+	members := p.knowledge.Members()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, m := range members {
+		if known := p.all[m.Incarnation]; known == nil || known.heard.IsZero() {
+			p.know(m)
+		}
+	}
+	p.rebuild()
+}
+
+func (p *peers) sendBeat() {
+	_, good := p.belief.check()
+	b := beat{Member: p.Self(), Digest: p.knowledge.Digest(), Good: good, Fresh: p.control.fresh()}
+	for life, load := range p.fleet.Own() {
+		b.Loads = append(b.Loads, lifeLoad{Life: life, Load: load})
+	}
+	if _, err := p.mesh.Spread(lavmesh.TopicBeat, b); err != nil {
+		p.logger.Warn().Err(err).Msg("beat not sent")
+	}
+}
+
+// hearBeat is the mesh's handler of beats.
+func (p *peers) hearBeat(_ context.Context, _ string, body []byte) (any, error) {
+	var b beat
+	if err := lavmesh.Decode(body, &b); err != nil {
+		return nil, err
+	}
+	loads := make(map[lavconfig.Life]lavplan.Load, len(b.Loads))
+	for _, l := range b.Loads {
+		loads[l.Life] = l.Load
+	}
+	p.fleet.Hear(b.Member.Incarnation, loads)
+	digest := p.knowledge.Digest()
+	now := time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	known := p.know(b.Member)
+	if known == nil {
+		return nil, nil
+	}
+	known.heard, known.good, known.fresh = now, b.Good, b.Fresh
+	if b.Digest == digest {
+		known.differs = time.Time{}
+	} else if known.differs.IsZero() {
+		known.differs = now
+	}
+	return nil, nil
+}
+
+// hearNews is the mesh's handler of changed entries.
+func (p *peers) hearNews(_ context.Context, _ string, body []byte) (any, error) {
+	var n news
+	if err := lavmesh.Decode(body, &n); err != nil {
+		return nil, err
+	}
+	p.knowledge.apply(n.Entries, n.Settled)
+	return nil, nil
+}
+
+// tell spreads entries that have changed.
+func (p *peers) tell(changed []lavmirror.Entry, settled bool) {
+	if _, err := p.mesh.Spread(lavmesh.TopicNews, news{Entries: changed, Settled: settled}); err != nil {
+		p.logger.Warn().Err(err).Msg("news not spread")
+	}
+}
+
+// giveEntries is the mesh's handler of peers that ask what this host knows.
+func (p *peers) giveEntries(context.Context, string, []byte) (any, error) {
+	_, good := p.belief.check()
+	return entries{Entries: p.knowledge.Entries(), Good: good, Settled: p.control.settled()}, nil
+}
+
+// compare asks a peer for what it knows, if the store doesn't tell this host and
+// the peer knows other things or this host may not act on what it knows.
+func (p *peers) compare(ctx context.Context) {
+	era, good := p.belief.check()
+	if good && p.control.fresh() {
+		return
+	}
+	from, ok := p.teacher(good)
+	if !ok {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, pullTime)
+	defer cancel()
+	var got entries
+	if err := p.mesh.Call(ctx, from, lavmesh.TopicEntries, struct{}{}, &got); err != nil {
+		p.logger.Warn().Err(err).Str("Peer", from).Msg("entries not had")
+		return
+	}
+	p.knowledge.apply(got.Entries, got.Settled)
+	p.mu.Lock()
+	if known := p.all[from]; known != nil {
+		known.differs = time.Time{}
+	}
+	p.mu.Unlock()
+	if got.Good && p.belief.confirm(era) {
+		p.logger.Info().Str("Peer", from).Msg("knowledge confirmed by a peer")
+	}
+}
+
+// teacher returns a peer that may act on what it knows and, if this host may
+// too, has known other things for a while.
+func (p *peers) teacher(good bool) (string, bool) {
+	now := time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for id, known := range p.all {
+		if !known.good || now.Sub(known.heard) > aliveTime {
+			continue
+		}
+		if !good || !known.differs.IsZero() && now.Sub(known.differs) > differTime {
+			return id, true
+		}
+	}
+	return "", false
+}
+
+// informed reports whether a peer that hears the store knows what this host
+// knows.
+func (p *peers) informed() bool {
+	now := time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, known := range p.all {
+		if known.good && known.fresh && known.differs.IsZero() && now.Sub(known.heard) < aliveTime {
+			return true
+		}
+	}
+	return false
+}
+
+// Alive returns the members to which callers may be sent.
+func (p *peers) Alive() []lavmember.Member {
+	now := time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var alive []lavmember.Member
+	for _, known := range p.all {
+		if p.lives(known, now) && !known.member.Leaving && known.member.Entry.IsValid() {
+			alive = append(alive, known.member)
+		}
+	}
+	if !p.self.Leaving {
+		alive = append(alive, p.self)
+	}
+	return alive
+}
--- a/lavmesh/dial.go
+++ b/lavmesh/dial.go
@@ -119,7 +119,7 @@
 	if err := lavstep.Reach(ctx, lavstep.MeshDial, peer.Host); err != nil {
 		return err
 	}
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	ctx, cancel := context.WithTimeout(ctx, m.pace.Dial)
 	defer cancel()
 	self := m.views.Self()
 	header, err := json.Marshal(self)
@@ -140,7 +140,7 @@
 		_ = conn.CloseNow()
 		return lavstep.Wrap(err, lavstep.MeshDial, peer.Host)
 	}
-	m.start(met, newLink(met.Incarnation, self.Incarnation, conn, m.traffic))
+	m.start(met, newLink(met.Incarnation, self.Incarnation, conn, m.traffic, m.pace))
 	if met.Incarnation != peer.Incarnation {
 		// Another process has taken the address over; the one asked for is
 		// gone.
@@ -204,7 +204,7 @@
 	if err != nil {
 		return
 	}
-	l := newLink(peer.Incarnation, peer.Incarnation, conn, m.traffic)
+	l := newLink(peer.Incarnation, peer.Incarnation, conn, m.traffic, m.pace)
 	if !m.attach(l) {
 		l.close()
 		return
--- a/lavmesh/link.go
+++ b/lavmesh/link.go
@@ -14,11 +14,25 @@
 
 // Bounds of a link.
 const (
-	queueLength  = 256
-	pingEvery    = 2 * time.Second
-	silenceBound = 6 * time.Second
+	queueLength = 256
 )
 
+// Pace is how fast a mesh notices that a link or a peer is gone.
+type Pace struct {
+	// Ping is the time between signs of life on a link, and Silence the time
+	// without any after which the link is given up.
+	Ping, Silence time.Duration
+	// Tend is the time between looks for neighbours without a link.
+	Tend time.Duration
+	// Dial bounds the opening of a link.
+	Dial time.Duration
+}
+
+// DefaultPace suits fleets whose store settles who is alive.
+func DefaultPace() Pace {
+	return Pace{Ping: 2 * time.Second, Silence: 6 * time.Second, Tend: time.Second, Dial: 2 * time.Second}
+}
+
 // errLinkDown means that the connection ended before the reply came.
 var errLinkDown = errors.New("link is down")
 
@@ -33,6 +47,7 @@
 	dialler string
 	conn    *websocket.Conn
 	traffic *traffic
+	pace    Pace
 	answers chan struct{}
 	out     chan message
 	done    chan struct{}
@@ -47,7 +62,7 @@
 	heard time.Time
 }
 
-func newLink(peer, dialler string, conn *websocket.Conn, t *traffic) *link {
+func newLink(peer, dialler string, conn *websocket.Conn, t *traffic, pace Pace) *link {
 	conn.SetReadLimit(MaxMessageBytes)
 	now := time.Now()
 	return &link{
@@ -56,6 +71,7 @@
 		dialler: dialler,
 		conn:    conn,
 		traffic: t,
+		pace:    pace,
 		answers: make(chan struct{}, maxAnswering),
 		out:     make(chan message, queueLength),
 		done:    make(chan struct{}),
@@ -86,7 +102,7 @@
 func (l *link) silentSince(sent time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.heard.Before(sent) && time.Since(sent) > pingEvery+pingEvery/2
+	return l.heard.Before(sent) && time.Since(sent) > l.pace.Ping+l.pace.Ping/2
 }
 
 // offer queues a message, or reports that the queue is full.
@@ -181,7 +197,7 @@
 
 func (l *link) write(ctx context.Context) {
 	defer l.close()
-	ping := time.NewTicker(pingEvery)
+	ping := time.NewTicker(l.pace.Ping)
 	defer ping.Stop()
 	for {
 		m := message{Version: version, Topic: TopicPing}
@@ -205,7 +221,7 @@
 
 // send writes one frame. A peer that doesn't take it in time is silent.
 func (l *link) send(ctx context.Context, data []byte) error {
-	ctx, cancel := context.WithTimeout(ctx, silenceBound)
+	ctx, cancel := context.WithTimeout(ctx, l.pace.Silence)
 	defer cancel()
 	l.traffic.send(len(data))
 	return l.conn.Write(ctx, websocket.MessageBinary, data)
@@ -215,7 +231,7 @@
 // sends pings.
 func (l *link) read(ctx context.Context, handle func(message)) {
 	for {
-		wait, cancel := context.WithTimeout(ctx, silenceBound)
+		wait, cancel := context.WithTimeout(ctx, l.pace.Silence)
 		_, data, err := l.conn.Read(wait)
 		cancel()
 		if err != nil {
--- a/lavmesh/mesh.go
+++ b/lavmesh/mesh.go
@@ -18,13 +18,8 @@
 // Path is where a host's mesh address answers.
 const Path = "/mesh"
 
-// Times of the mesh.
-const (
-	dialTimeout = 2 * time.Second
-	tendEvery   = time.Second
-	// idleBound is how long a link stays that was opened for calls alone.
-	idleBound = 30 * time.Second
-)
+// idleBound is how long a link stays that was opened for calls alone.
+const idleBound = 30 * time.Second
 
 // Handler answers a message of one topic. Its result is the body of the reply;
 // for a message that wants no reply it is dropped. From is the incarnation of
@@ -53,6 +48,7 @@
 	client  *http.Client
 	traffic *traffic
 	keys    *Keys
+	pace    Pace
 	names   atomic.Pointer[names]
 
 	mu       sync.Mutex
@@ -75,6 +71,7 @@
 		views:    views,
 		client:   client,
 		traffic:  newTraffic(tally.NoopScope),
+		pace:     DefaultPace(),
 		handlers: make(map[Topic]Handler),
 		links:    make(map[string]*link),
 		dialling: make(map[string]chan struct{}),
@@ -87,6 +84,9 @@
 // Count makes the mesh count its traffic in scope. It is called before Serve.
 func (m *Mesh) Count(scope tally.Scope) { m.traffic = newTraffic(scope) }
 
+// SetPace changes how fast the mesh notices losses. It is called before Serve.
+func (m *Mesh) SetPace(p Pace) { m.pace = p }
+
 // Handle sets the handler of a topic. All are set before Serve.
 func (m *Mesh) Handle(topic Topic, h Handler) {
 	m.mu.Lock()
@@ -96,7 +96,7 @@
 
 // Serve keeps the links to this host's neighbours until the context ends.
 func (m *Mesh) Serve(ctx context.Context) error {
-	tick := time.NewTicker(tendEvery)
+	tick := time.NewTicker(m.pace.Tend)
 	defer tick.Stop()
 	defer m.running.Wait()
 	m.begin(ctx)
--- a/lavmesh/message.go
+++ b/lavmesh/message.go
@@ -37,6 +37,12 @@
 	TopicOwner
 	// TopicCache spreads cache events of an endpoint.
 	TopicCache
+	// TopicBeat tells that a host lives, and what it has running.
+	TopicBeat
+	// TopicNews spreads entries of the store that have changed.
+	TopicNews
+	// TopicEntries asks a peer for the entries of the store that it knows.
+	TopicEntries
 	topicEnd
 )
 
--- a/lavmesh/topic_string.go
+++ b/lavmesh/topic_string.go
@@ -21,12 +21,15 @@
 	_ = x[TopicView-10]
 	_ = x[TopicOwner-11]
 	_ = x[TopicCache-12]
-	_ = x[topicEnd-13]
+	_ = x[TopicBeat-13]
+	_ = x[TopicNews-14]
+	_ = x[TopicEntries-15]
+	_ = x[topicEnd-16]
 }
 
-const _Topic_name = "topicNonePingReleaseCreditLoadQuarantineLedgerBurnReleasePullMemberViewOwnerCachetopicEnd"
+const _Topic_name = "topicNonePingReleaseCreditLoadQuarantineLedgerBurnReleasePullMemberViewOwnerCacheBeatNewsEntriestopicEnd"
 
-var _Topic_index = [...]uint8{0, 9, 13, 20, 26, 30, 40, 46, 50, 61, 67, 71, 76, 81, 89}
+var _Topic_index = [...]uint8{0, 9, 13, 20, 26, 30, 40, 46, 50, 61, 67, 71, 76, 81, 85, 89, 96, 104}
 
 func (i Topic) String() string {
 	idx := int(i) - 0
--- /dev/null
+++ b/lavrelay/call.go
@@ -0,0 +1,55 @@
+package lavrelay
+
+import (
+	"net/http"
+	"time"
+
+	"lavenderrack.example/lavenderrack/lavconfig"
+	"lavenderrack.example/lavenderrack/lavplan"
+)
+
+// Call is a caller's request, read whole and admitted.
+type Call struct {
+	ID       string
+	Method   string
+	Target   string
+	HostName string
+	Header   http.Header
+	Body     []byte
+	Route    *lavconfig.Route
+	Service  string
+	Customer string
+	// Prompt is what a model engine is asked to do.
+	Prompt lavplan.Prompt
+	// LastEvent is the event after which the caller resumes a stream.
+	LastEvent string
+	// Deadline is when the caller must have his answer.
+	Deadline time.Time
+	// Arrived is when the request came.
+	Arrived time.Time
+	// Fingerprint is the same for the same request sent again.
+	Fingerprint uint64
+	// Version is the desired state that admitted the request.
+	Version lavconfig.Version
+}
+
+// abandonFloor, abandonObjectives and abandonPauses say after which silence
+// callers leave a stream: the longest of the three.
+const (
+	abandonFloor      = 2 * time.Second
+	abandonObjectives = 4
+	abandonPauses     = 8
+	// patiencePart is the part of that silence after which a stream is taken
+	// to another endpoint.
+	patiencePart = 0.55
+)
+
+// patience returns how long an endpoint may be silent before the request is
+// taken elsewhere, or zero if it can't be.
+func (c *Call) patience() time.Duration {
+	if c.Route.Kind != lavconfig.KindStreaming || !c.Route.Repeatable() {
+		return 0
+	}
+	longest := max(abandonFloor, abandonObjectives*c.Route.Objective, abandonPauses*c.Route.PauseObjective)
+	return time.Duration(float64(longest) * patiencePart)
+}
--- /dev/null
+++ b/lavrelay/relay.go
@@ -0,0 +1,249 @@
+package lavrelay
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"lavenderrack.example/lavenderrack/lavconfig"
+	"lavenderrack.example/lavenderrack/lavconn"
+	"lavenderrack.example/lavenderrack/lavfleet"
+	"lavenderrack.example/lavenderrack/lavplan"
+	"lavenderrack.example/lavenderrack/platform"
+
+	"github.com/cockroachdb/errors"
+	"github.com/phuslu/log"
+	"github.com/uber-go/tally/v4"
+)
+
+// Belief tells whether this host may act on what it knows.
+type Belief interface {
+	// Await returns once the host's knowledge is good, or an error if it
+	// doesn't become so in time.
+	Await(ctx context.Context) error
+}
+
+// Suspects knows the requests that kill the endpoints that run them.
+type Suspects interface {
+	// Refused reports whether a request must not run again.
+	Refused(fingerprint uint64) bool
+	// Lost tells that an endpoint's connection broke as it had the request.
+	Lost(fingerprint uint64, e lavconfig.Endpoint)
+}
+
+// Relay carries requests. It is safe for concurrent use.
+type Relay struct {
+	pool     *lavconn.Pool
+	fleet    *lavfleet.Fleet
+	belief   Belief
+	suspects Suspects
+	logger   *log.Logger
+	draw     func() float64
+	counts   counts
+}
+
+// New returns a relay over the fleet. Draw returns numbers from 0 up to 1.
+func New(pool *lavconn.Pool, fleet *lavfleet.Fleet, belief Belief, suspects Suspects, logger *log.Logger, scope tally.Scope, draw func() float64) *Relay {
+	return &Relay{
+		pool:     pool,
+		fleet:    fleet,
+		belief:   belief,
+		suspects: suspects,
+		logger:   logger,
+		draw:     draw,
+		counts:   newCounts(scope),
+	}
+}
+
+// Serve answers a call. It panics with http.ErrAbortHandler if an answer that
+// was begun can't be completed.
+func (r *Relay) Serve(ctx context.Context, w http.ResponseWriter, c *Call) {
+	ctx, cancel := context.WithDeadline(ctx, c.Deadline)
+	defer cancel()
+	r.fleet.Request(c.Service)
+	t := &task{relay: r, call: c, out: w, tried: make(map[lavconfig.Life]bool)}
+	t.events.last = c.LastEvent
+	outcome := t.run(ctx)
+	r.counts.end(c, t, outcome)
+	t.log(outcome)
+	t.finish(ctx, outcome)
+}
+
+// task is a call on its way.
+type task struct {
+	relay *Relay
+	call  *Call
+	out   http.ResponseWriter
+	// tried are the endpoints that have had the request.
+	tried map[lavconfig.Life]bool
+	// arrivals counts the endpoints that got the request, and runs those that
+	// may have run it.
+	arrivals, runs int
+	// begun is true once the caller has the head of an answer.
+	begun  bool
+	events events
+	// retryAfter is when a refused caller should come back.
+	retryAfter time.Duration
+	trace      trace
+}
+
+// run makes attempts until one ends the call.
+func (t *task) run(ctx context.Context) Outcome {
+	for {
+		if err := t.relay.belief.Await(ctx); err != nil {
+			return t.given(ctx, OutcomeUnready)
+		}
+		if t.relay.suspects.Refused(t.call.Fingerprint) {
+			return t.given(ctx, OutcomeSuspect)
+		}
+		choice, outcome := t.choose(ctx)
+		if choice == nil {
+			return t.given(ctx, outcome)
+		}
+		if t.arrivals > 0 && !t.relay.fleet.SpendRepeat(t.call.Service) {
+			return t.given(ctx, OutcomeBudget)
+		}
+		next := t.attempt(ctx, choice)
+		if next != again {
+			return next
+		}
+		if ctx.Err() != nil {
+			return t.given(ctx, OutcomeLate)
+		}
+	}
+}
+
+// given returns the outcome of a call that is given up: why, unless the caller
+// has left or his time is over.
+func (t *task) given(ctx context.Context, why Outcome) Outcome {
+	switch {
+	case errors.Is(ctx.Err(), context.Canceled):
+		return OutcomeLeft
+	case ctx.Err() != nil:
+		return OutcomeLate
+	default:
+		return why
+	}
+}
+
+// choice is where an attempt goes.
+type choice struct {
+	endpoint lavconfig.Endpoint
+	helpers  []lavconfig.Endpoint
+	plan     lavplan.Plan
+	run      *lavfleet.Run
+}
+
+// Times of waiting for an endpoint that may take a request.
+const (
+	choosePause = 60 * time.Millisecond
+	// choosePart is the part of the objective that may pass in waiting.
+	choosePart = 0.5
+)
+
+// choose picks endpoints and counts the run there. While endpoints are left out
+// only because they may be cold, it waits a little.
+func (t *task) choose(ctx context.Context) (*choice, Outcome) {
+	until := time.Now().Add(time.Duration(float64(t.call.Route.Objective) * choosePart))
+	for {
+		board, ok := t.relay.fleet.Board(t.call.Service, func(l lavconfig.Life) bool { return t.tried[l] })
+		if !ok {
+			return nil, OutcomeNoEndpoint
+		}
+		c := t.plan(board)
+		if c != nil {
+			return c, 0
+		}
+		t.retryAfter = lavplan.RetryAfter(board.Service.Engine, board.Candidates)
+		if !board.Bound || time.Now().After(until) {
+			return nil, OutcomeFull
+		}
+		select {
+		case <-ctx.Done():
+			return nil, OutcomeFull
+		case <-time.After(choosePause):
+		}
+	}
+}
+
+func (t *task) plan(b lavfleet.Board) *choice {
+	var plan lavplan.Plan
+	var ok bool
+	if b.Service.Engine != nil {
+		plan, ok = lavplan.Place(b.Service.Engine, t.call.Prompt, b.Candidates, t.relay.draw)
+	} else {
+		plan, ok = lavplan.PlaceCall(b.Candidates, t.relay.draw)
+	}
+	if !ok {
+		return nil
+	}
+	c := &choice{endpoint: b.Endpoints[plan.First], plan: plan}
+	for _, h := range plan.Helpers {
+		c.helpers = append(c.helpers, b.Endpoints[h])
+	}
+	c.run = t.relay.fleet.Begin(t.parts(c))
+	if c.run == nil {
+		return nil
+	}
+	return c
+}
+
+// parts returns what a choice puts on each of its endpoints.
+func (t *task) parts(c *choice) []lavfleet.Part {
+	p := t.call.Prompt
+	memory := p.Tokens + p.Answer
+	parts := make([]lavfleet.Part, 1, 1+len(c.helpers))
+	for i, h := range c.helpers {
+		part := lavfleet.Part{Life: h.Life(), Load: lavplan.Load{Reading: c.plan.Reading}}
+		if i < len(c.plan.Reserve) {
+			part.Load.Memory = c.plan.Reserve[i]
+			memory -= c.plan.Reserve[i]
+		}
+		parts = append(parts, part)
+	}
+	first := lavplan.Load{Requests: 1, Reading: c.plan.Reading, Memory: memory}
+	if p.Strict() {
+		first.Strict = 1
+	}
+	parts[0] = lavfleet.Part{Life: c.endpoint.Life(), Load: first}
+	return parts
+}
+
+// finish writes the answer of a call that got none from an endpoint.
+func (t *task) finish(ctx context.Context, o Outcome) {
+	if o == OutcomeDone || o == OutcomePassed {
+		return
+	}
+	if t.begun || o == OutcomeLeft {
+		panic(http.ErrAbortHandler)
+	}
+	_ = ctx
+	platform.SetRefusal(t.out.Header(), t.call.ID, t.pauseFor(o))
+	t.out.WriteHeader(t.status(o))
+	_, _ = io.WriteString(t.out, o.String()+"\n")
+}
+
+// status returns the status that an outcome is answered with. One that says
+// that the request has not run is given only if it can't have.
+func (t *task) status(o Outcome) int {
+	switch {
+	case t.runs == 0:
+		return http.StatusServiceUnavailable
+	case o == OutcomeLate:
+		return http.StatusGatewayTimeout
+	default:
+		return http.StatusBadGateway
+	}
+}
+
+// leastRetryAfter keeps callers from coming back before anything can change.
+const leastRetryAfter = 250 * time.Millisecond
+
+// pauseFor returns when the caller should come back, zero if it is no use.
+func (t *task) pauseFor(o Outcome) time.Duration {
+	if t.runs > 0 || o == OutcomeSuspect {
+		return 0
+	}
+	return max(t.retryAfter, leastRetryAfter)
+}
