--- a/cmd/lavenderrack/entry.go
+++ b/cmd/lavenderrack/entry.go
@@ -7,7 +7,9 @@
 	"net/http"
 	"net/netip"
 	"os"
+	"os/signal"
 	"runtime/debug"
+	"syscall"
 	"time"
 
 	"lavenderrack.example/lavenderrack/lavconn"
@@ -59,14 +61,18 @@
 	if err != nil {
 		return c.fail(err, subcommands.ExitUsageError)
 	}
-	if err := runEntry(ctx, settings); err != nil {
+	load := func() (platform.Settings, error) { return platform.LoadSettings(path) }
+	if err := runEntry(ctx, settings, load); err != nil {
 		return c.fail(err, subcommands.ExitFailure)
 	}
 	return subcommands.ExitSuccess
 }
 
 // runEntry runs an entry host until the context ends.
-func runEntry(ctx context.Context, s platform.Settings) error {
+func runEntry(ctx context.Context, s platform.Settings, load func() (platform.Settings, error)) error {
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
+	defer signal.Stop(hangup)
 	debug.SetGCPercent(collectPercent)
 	debug.SetMemoryLimit(int64(float64(s.MemoryBytes) * heapPart))
 	lines := &log.AsyncWriter{ChannelSize: logLines, DiscardOnFull: true, Writer: &log.IOWriter{Writer: os.Stdout}}
@@ -88,6 +94,8 @@
 		Clock:   lavhost.SuspendedTime,
 		Logger:  &log.Logger{Level: log.InfoLevel, Writer: lines},
 		Scope:   scope,
+		Reload:  load,
+		Hangup:  hangup,
 		Metrics: reporter.HTTPHandler(),
 	})
 	return host.Serve(ctx)
--- a/lavfleet/fleet.go
+++ b/lavfleet/fleet.go
@@ -30,9 +30,8 @@
 // Fleet is the endpoints in service and the work on them. It is safe for
 // concurrent use.
 type Fleet struct {
-	bounds Bounds
-
 	mu        sync.Mutex
+	bounds    Bounds
 	endpoints map[lavconfig.Life]*state
 	services  map[string]*service
 	out       map[string]bool
@@ -114,6 +113,13 @@
 	f.services = next
 }
 
+// SetBounds replaces the bounds.
+func (f *Fleet) SetBounds(b Bounds) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.bounds = b
+}
+
 // SetHosts tells how many hosts may send work, this one included.
 func (f *Fleet) SetHosts(n int) {
 	f.mu.Lock()
--- a/lavhost/drain.go
+++ b/lavhost/drain.go
@@ -23,21 +23,30 @@
 
 // drain is a planned stop of the host.
 type drain struct {
-	grace time.Duration
+	grace atomic.Int64
 	since atomic.Int64
 }
 
+func newDrain(grace time.Duration) *drain {
+	d := &drain{}
+	d.setGrace(grace)
+	return d
+}
+
+func (d *drain) setGrace(grace time.Duration) { d.grace.Store(int64(grace)) }
+
 func (d *drain) begin() { d.since.Store(time.Now().UnixNano()) }
 
 func (d *drain) begun() bool { return d.since.Load() != 0 }
 
 // left returns how much of the grace is left.
 func (d *drain) left() time.Duration {
+	grace := time.Duration(d.grace.Load())
 	since := d.since.Load()
 	if since == 0 {
-		return d.grace
+		return grace
 	}
-	return d.grace - drainMargin - time.Duration(time.Now().UnixNano()-since)
+	return grace - drainMargin - time.Duration(time.Now().UnixNano()-since)
 }
 
 // tooLate reports whether a request of a route is not expected to end within
--- a/lavhost/host.go
+++ b/lavhost/host.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"os"
 	"time"
 
 	"lavenderrack.example/lavenderrack/lavconn"
@@ -43,6 +44,9 @@
 	Clock  Clock
 	Logger *log.Logger
 	Scope  tally.Scope
+	// Reload reads the settings anew, and Hangup asks for it.
+	Reload func() (platform.Settings, error)
+	Hangup <-chan os.Signal
 	// Metrics answers with the counters, nil if they are not served.
 	Metrics http.Handler
 }
@@ -64,16 +68,8 @@
 
 // New returns a host that is to run by those settings.
 func New(s platform.Settings, e Edges) *Host {
-	h := &Host{settings: s, edges: e, belief: newBelief(e.Clock), drain: &drain{grace: s.Bounds.Grace}}
-	h.fleet = lavfleet.New(lavfleet.Bounds{
-		Retry: lavfleet.BudgetBounds{
-			Ratio:  s.Bounds.RetryRatio,
-			Window: s.Bounds.RetryWindow,
-			Burst:  s.Bounds.RetryBurst,
-		},
-		ColdFactor: s.Bounds.ColdFactor,
-		ColdSlack:  s.Bounds.ColdSlack,
-	})
+	h := &Host{settings: s, edges: e, belief: newBelief(e.Clock), drain: newDrain(s.Bounds.Grace)}
+	h.fleet = lavfleet.New(fleetBounds(s.Bounds))
 	h.knowledge = newKnowledge(lavmirror.New(), h.fleet, e.Logger)
 	h.pool = lavconn.New(e.Dial, idlePerEndpoint)
 	h.addPeers()
@@ -147,6 +143,7 @@
 	tree.Add(h.peers)
 	tree.Add(h.mesh)
 	tree.Add(&membership{leases: h.edges.Store, peers: h.peers, logger: h.edges.Logger})
+	tree.Add(&reloader{load: h.edges.Reload, hangup: h.edges.Hangup, apply: h.reload, logger: h.edges.Logger})
 	tree.Add(&sweeper{pool: h.pool, knowledge: h.knowledge})
 	ended := tree.ServeBackground(running)
 	select {
--- a/lavhost/peers.go
+++ b/lavhost/peers.go
@@ -185,6 +185,13 @@
 	return now.Sub(known.heard) < aliveTime
 }
 
+// setSeeds replaces the addresses that are tried while no peer is known.
+func (p *peers) setSeeds(seeds []netip.AddrPort) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.seeds = seeds
+}
+
 // Leave tells the others that this host drains.
 func (p *peers) Leave() {
 	p.mu.Lock()
