Place prompts by what their parts cost others and themselves

Change: each part goes where it harms fewest running streams, short streams gather, and the number of parts is the cheapest of all.

--- a/lavhost/ingress.go
+++ b/lavhost/ingress.go
@@ -151,9 +151,10 @@
 		Service:  route.Choose(rand.Float64()),
 		Customer: customer,
 		Prompt: lavplan.Prompt{
-			Tokens: said.PromptTokens,
-			Answer: said.AnswerTokens,
-			Pause:  route.PauseObjective,
+			Tokens:    said.PromptTokens,
+			Answer:    said.AnswerTokens,
+			Objective: route.Objective,
+			Pause:     route.PauseObjective,
 		},
 		LastEvent:   said.LastEvent,
 		Deadline:    deadline(arrived, said.Patience, route.Timeout),
--- a/lavplan/engine.go
+++ b/lavplan/engine.go
@@ -10,8 +10,10 @@
 type Load struct {
 	// Requests run or wait to run.
 	Requests int `cbor:"1,keyasint,omitempty"`
-	// Strict are those of them that write events with a short pause objective.
+	// Strict and Medium are those of them whose streams bear only short passes,
+	// and passes of middle length.
 	Strict int `cbor:"2,keyasint,omitempty"`
+	Medium int `cbor:"5,keyasint,omitempty"`
 	// Reading is the time for what is still to be read of prompts.
 	Reading time.Duration `cbor:"3,keyasint,omitempty"`
 	// Memory is the tokens that prompts, answers and reservations take.
@@ -23,6 +25,7 @@
 	return Load{
 		Requests: l.Requests + m.Requests,
 		Strict:   l.Strict + m.Strict,
+		Medium:   l.Medium + m.Medium,
 		Reading:  l.Reading + m.Reading,
 		Memory:   l.Memory + m.Memory,
 	}
@@ -33,6 +36,7 @@
 	return Load{
 		Requests: l.Requests - m.Requests,
 		Strict:   l.Strict - m.Strict,
+		Medium:   l.Medium - m.Medium,
 		Reading:  l.Reading - m.Reading,
 		Memory:   l.Memory - m.Memory,
 	}
@@ -59,3 +63,33 @@
 	step += time.Duration(float64(l.Memory) / 1000 * float64(e.StepPer1000Context))
 	return time.Duration(e.StepsPerPass) * step
 }
+
+// Passes up to these lengths keep the streams of each class in time. They leave
+// room for the way to the caller.
+const (
+	strictPass = 185 * time.Millisecond
+	mediumPass = 470 * time.Millisecond
+	loosePass  = 760 * time.Millisecond
+)
+
+// What an answer of each class counts that comes late.
+const (
+	strictWeight = 1.5
+	mediumWeight = 5
+	looseWeight  = 20
+)
+
+// harm is what the answers count that a pass of that length makes late.
+func (l Load) harm(pass time.Duration) float64 {
+	harm := 0.0
+	if pass > strictPass {
+		harm += strictWeight * float64(l.Strict)
+	}
+	if pass > mediumPass {
+		harm += mediumWeight * float64(l.Medium)
+	}
+	if pass > loosePass {
+		harm += looseWeight * float64(max(l.Requests-l.Strict-l.Medium, 0))
+	}
+	return harm
+}
--- a/lavplan/place.go
+++ b/lavplan/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -17,36 +18,6 @@
 	Doubtful bool
 }
 
-// Prompt is a request to a model engine.
-type Prompt struct {
-	Tokens int
-	// Answer is the most tokens that are written.
-	Answer int
-	// Pause is the longest pause between events that is in time.
-	Pause time.Duration
-}
-
-// strictPause is the pause objective up to which a stream is strict: one long
-// pass makes its answer late.
-const strictPause = 300 * time.Millisecond
-
-// Strict reports whether one long pass would make the answer late.
-func (p Prompt) Strict() bool { return p.Pause > 0 && p.Pause <= strictPause }
-
-// Orders of admission at an endpoint, 0 first.
-const (
-	strictPriority = 3
-	usualPriority  = 5
-)
-
-// Priority returns the order of admission at an endpoint.
-func (p Prompt) Priority() int {
-	if p.Strict() {
-		return strictPriority
-	}
-	return usualPriority
-}
-
 // Plan says which candidates serve a request. Its numbers index the board.
 type Plan struct {
 	First   int
@@ -59,98 +30,160 @@
 }
 
 const (
-	// shortTokens is the longest prompt that one engine reads alone: some 85
-	// ms of reading, less than half of the shortest pause objective.
-	shortTokens = 20_000
-	// partTokens is the length of the parts of longer prompts.
-	partTokens = 6_000
-	// maxHelpers is how many endpoints may help the first one.
-	maxHelpers = 16
+	// maxParts is the number of endpoints that may read one prompt: the first
+	// and the helpers that it may name.
+	maxParts = 17
 	// memoryPart is the part of an engine's memory that plans fill, since what
 	// is known of it lags.
 	memoryPart = 0.92
 )
 
+// Costs are in answers of a short prompt that come late.
+const (
+	// doubtCost puts doubtful endpoints behind all sound ones.
+	doubtCost = 1000
+	// fullCost is added for each request that must end before this one begins.
+	fullCost = 1.0
+	// crowdCost is added for each request beyond crowdPart of the slots, which
+	// are left to those of whom this host hasn't heard yet.
+	crowdCost = 0.12
+	crowdPart = 0.7
+	// openCost is the cost of short streams on one more endpoint: it can read
+	// long prompts no longer without making them late.
+	openCost = 0.5
+	// companyGain draws short streams to endpoints that have some.
+	companyGain = 0.03
+	// readCost is the cost of a second of reading that lies ahead.
+	readCost = 2.0
+	// helperCost is what each helper adds: one more endpoint whose loss would
+	// hold the prompt up.
+	helperCost = 0.02
+	// tieSpread is how far apart hosts rate the same endpoint.
+	tieSpread = 0.12
+)
+
 // Place chooses the endpoints for a prompt, or reports false if there is none
 // with room. Draw breaks ties, so that hosts that see the same board differ.
+//
+// For each number of parts it takes the endpoints that are harmed least by one
+// of them, and of all these choices the one that costs least: answers that the
+// longer passes make late, and this prompt's own if it is read too slowly.
 func Place(e *lavconfig.Engine, p Prompt, board []Candidate, draw func() float64) (Plan, bool) {
-	if len(board) == 0 {
-		return Plan{}, false
+	noise := make([]float64, len(board))
+	for i := range noise {
+		noise[i] = draw() * tieSpread
 	}
-	order := byReading(e, board, draw)
-	if p.Tokens <= shortTokens {
-		return placeShort(e, p, board, order)
+	best, least := Plan{}, math.Inf(1)
+	for parts := 1; parts <= min(maxParts, len(board)); parts++ {
+		plan, cost, ok := placeParts(e, p, board, noise, parts)
+		if ok && cost < least {
+			best, least = plan, cost
+		}
 	}
-	return placeLong(e, p, board, order)
+	return best, !math.IsInf(least, 1)
 }
 
-// byReading orders the candidates: sound ones first, those with a free slot
-// first, then by the time until a new prompt would be read.
-func byReading(e *lavconfig.Engine, board []Candidate, draw func() float64) []int {
-	type rated struct {
-		at   int
-		cost float64
-	}
-	rates := make([]rated, len(board))
+// placeParts chooses so many endpoints for the parts of a prompt.
+func placeParts(e *lavconfig.Engine, p Prompt, board []Candidate, noise []float64, parts int) (Plan, float64, bool) {
+	part := ReadTime(e, p.Tokens, parts)
+	costs := make([]float64, len(board))
+	order := make([]int, len(board))
 	for i, c := range board {
-		cost := (c.Reading + PassTime(e, c.Load)).Seconds()
-		if c.Requests >= c.Slots {
-			cost += float64(c.Requests-c.Slots+1) * fullCost
-		}
-		if c.Doubtful {
-			cost += doubtCost
-		}
-		rates[i] = rated{at: i, cost: cost + draw()*tieSpread}
+		costs[i] = partCost(e, c, part) + noise[i]
+		order[i] = i
+	}
+	slices.SortFunc(order, func(a, b int) int { return cmp.Compare(costs[a], costs[b]) })
+	chosen := order[:parts]
+	first, firstCost, ok := chooseFirst(e, p, board, chosen, noise)
+	if !ok {
+		return Plan{}, 0, false
 	}
-	slices.SortFunc(rates, func(a, b rated) int { return cmp.Compare(a.cost, b.cost) })
-	order := make([]int, len(rates))
-	for i, r := range rates {
-		order[i] = r.at
+	total := firstCost + helperCost*float64(parts-1)
+	slowest := time.Duration(0)
+	for _, i := range chosen {
+		total += costs[i]
+		slowest = max(slowest, passWith(e, board[i], part))
 	}
-	return order
+	total += p.weight() * lateness(slowest+PassTime(e, board[first].Load)/2, p.Objective)
+	plan := Plan{First: first, Reading: part}
+	for _, i := range chosen {
+		if i != first {
+			plan.Helpers = append(plan.Helpers, i)
+		}
+	}
+	plan.Reserve, ok = reserve(e, p, board, plan)
+	return plan, total, ok
 }
 
-// What a candidate's flaws count for, in seconds of reading.
-const (
-	// fullCost is the wait for a slot for each request ahead.
-	fullCost = 0.2
-	// doubtCost puts doubtful endpoints behind all sound ones.
-	doubtCost = 1000
-	// tieSpread is how far apart hosts rate the same endpoint.
-	tieSpread = 0.004
-)
+// passWith returns the length of the pass in which an endpoint reads a part.
+func passWith(e *lavconfig.Engine, c Candidate, part time.Duration) time.Duration {
+	return PassTime(e, c.Load) + c.Reading + part
+}
+
+// partCost is what reading a part at an endpoint costs others.
+func partCost(e *lavconfig.Engine, c Candidate, part time.Duration) float64 {
+	before := passWith(e, c, 0)
+	cost := c.harm(before+part) - c.harm(before) + readCost*c.Reading.Seconds()
+	if c.Doubtful {
+		cost += doubtCost
+	}
+	return cost
+}
 
-func placeShort(e *lavconfig.Engine, p Prompt, board []Candidate, order []int) (Plan, bool) {
-	need := p.Tokens + p.Answer
-	for _, i := range order {
-		if board[i].Memory+need <= memoryLimit(e) {
-			return Plan{First: i, Reading: ReadTime(e, p.Tokens, 1)}, true
+// chooseFirst chooses the endpoint that writes the answer, by its free slots and
+// memory and by the company that the stream has there.
+func chooseFirst(e *lavconfig.Engine, p Prompt, board []Candidate, chosen []int, noise []float64) (int, float64, bool) {
+	best, least := -1, math.Inf(1)
+	for _, i := range chosen {
+		c := board[i]
+		if len(chosen) == 1 && c.Memory+p.Tokens+p.Answer > memoryLimit(e) {
+			continue
+		}
+		cost := slotCost(c) + float64(c.Memory)/float64(max(e.MemoryTokens, 1)) + noise[i]
+		if p.Strict() {
+			cost += companyCost(c)
+		} else {
+			// A long context slows the steps of those who write beside it.
+			cost += companyGain * float64(c.Strict)
+		}
+		if cost < least {
+			best, least = i, cost
 		}
 	}
-	return Plan{}, false
+	return best, least, best >= 0
+}
+
+func slotCost(c Candidate) float64 {
+	if c.Requests >= c.Slots {
+		return fullCost * float64(c.Requests-c.Slots+1)
+	}
+	return crowdCost * max(float64(c.Requests)-crowdPart*float64(c.Slots), 0)
+}
+
+func companyCost(c Candidate) float64 {
+	if c.Strict == 0 {
+		return openCost
+	}
+	return -companyGain * float64(c.Strict)
 }
 
 func memoryLimit(e *lavconfig.Engine) int { return int(float64(e.MemoryTokens) * memoryPart) }
 
-// placeLong divides a prompt into thin parts. The endpoint with the most free
-// memory among the readers is the first one; what doesn't fit there is reserved
-// at helpers.
-func placeLong(e *lavconfig.Engine, p Prompt, board []Candidate, order []int) (Plan, bool) {
-	parts := min((p.Tokens+partTokens-1)/partTokens, maxHelpers+1, len(order))
-	chosen := slices.Clone(order[:parts])
-	slices.SortStableFunc(chosen, func(a, b int) int { return cmp.Compare(board[a].Memory, board[b].Memory) })
-	plan := Plan{First: chosen[0], Helpers: chosen[1:], Reading: ReadTime(e, p.Tokens, parts)}
+// reserve returns the memory to reserve at the helpers for what of a prompt
+// doesn't fit at the first endpoint, or false if it fits nowhere.
+func reserve(e *lavconfig.Engine, p Prompt, board []Candidate, plan Plan) ([]int, bool) {
 	rest := p.Tokens + p.Answer - (memoryLimit(e) - board[plan.First].Memory)
+	var held []int
 	for _, i := range plan.Helpers {
 		if rest <= 0 {
 			break
 		}
 		part := min(rest, memoryLimit(e)-board[i].Memory)
 		if part <= 0 {
-			break
+			return nil, false
 		}
-		plan.Reserve = append(plan.Reserve, part)
+		held = append(held, part)
 		rest -= part
 	}
-	return plan, rest <= 0
+	return held, rest <= 0
 }
--- a/lavrelay/attempt.go
+++ b/lavrelay/attempt.go
@@ -30,7 +30,7 @@
 	answer, err := t.relay.pool.Do(ctx, c.endpoint.Address, t.request(c, hold), t.mine)
 	if err != nil {
 		verdict = t.failed(ctx, c, err)
-		return t.afterLoss(err)
+		return t.afterLoss(ctx, err)
 	}
 	t.arrivals++
 	head := platform.DecodeAnswer(answer.Status, answer.Header)
@@ -43,7 +43,7 @@
 	outcome, err := t.pass(ctx, c, answer, head)
 	if err != nil {
 		verdict = t.failed(ctx, c, err)
-		return t.afterBreak()
+		return t.given(ctx, t.afterBreak())
 	}
 	verdict = lavfleet.VerdictGood
 	return outcome
@@ -106,13 +106,13 @@
 }
 
 // afterLoss decides what follows an attempt that brought no answer.
-func (t *task) afterLoss(err error) Outcome {
+func (t *task) afterLoss(ctx context.Context, err error) Outcome {
 	if errors.Is(err, lavconn.ErrNotSent) {
-		return again
+		return t.given(ctx, again)
 	}
 	t.arrivals++
 	t.runs++
-	return t.afterBreak()
+	return t.given(ctx, t.afterBreak())
 }
 
 // afterBreak decides what follows a run that ended without a whole answer.
--- a/lavrelay/relay.go
+++ b/lavrelay/relay.go
@@ -206,6 +206,9 @@
 	if p.Strict() {
 		first.Strict = 1
 	}
+	if p.Medium() {
+		first.Medium = 1
+	}
 	parts[0] = lavfleet.Part{Life: c.endpoint.Life(), Load: first}
 	return parts
 }
