Admit short streams by their expected wait, and look before moving a silent one

Change: a short stream is refused if its first event can't be in time; a silent endpoint is looked at and left only if nobody listens; the first endpoint is chosen with its own part.

--- a/lavconn/exchange.go
+++ b/lavconn/exchange.go
@@ -43,6 +43,9 @@
 	// Patience bounds the wait for the head of the answer; zero is no bound
 	// but the context's.
 	Patience time.Duration
+	// Check is the silence after which the endpoint is looked at; zero is
+	// never. If nobody listens there any more the exchange ends.
+	Check time.Duration
 }
 
 // Checker says whether an answer belongs to the request that waits for it.
@@ -72,8 +75,10 @@
 		return nil, lavstep.Wrap(errors.Mark(err, ErrNotSent), lavstep.EngineSubmit, address.String())
 	}
 	stop := context.AfterFunc(ctx, c.close)
+	c.watch(r.Check)
 	answer, err := c.exchange(r, mine)
 	if err != nil {
+		c.unwatch()
 		stop()
 		c.close()
 		return nil, lavstep.Wrap(err, lavstep.EngineSubmit, address.String())
@@ -199,6 +204,7 @@
 // io.EOF, which wraps ErrLost.
 func (a *Answer) Read(p []byte) (int, error) {
 	n, err := a.body.Read(p)
+	a.conn.seen()
 	switch {
 	case err == io.EOF:
 		a.whole = true
@@ -216,6 +222,7 @@
 // Close ends the exchange. The connection is kept for another one, at most for
 // keep, if the answer was read to its end and nothing about it was odd.
 func (a *Answer) Close(keep time.Duration) {
+	a.conn.unwatch()
 	running := a.stop()
 	sent, _ := a.conn.sent.result()
 	if !running || !a.whole || !a.reusable || !sent || a.conn.reader.Buffered() > 0 {
--- a/lavconn/pool.go
+++ b/lavconn/pool.go
@@ -48,6 +48,9 @@
 	// until is when an idle connection is no longer used.
 	until time.Time
 	once  sync.Once
+	// check is the silence after which watcher looks at the endpoint.
+	check   time.Duration
+	watcher *time.Timer
 }
 
 func (c *conn) close() {
--- a/lavplan/place.go
+++ b/lavplan/place.go
@@ -24,6 +24,8 @@
 	Helpers []int
 	// Reading is the time that each of them reads.
 	Reading time.Duration
+	// Expected is the time to the first event, as far as the board tells.
+	Expected time.Duration
 	// Reserve is the memory to be reserved at helpers, in their order; missing
 	// ones hold nothing.
 	Reserve []int
@@ -92,25 +94,27 @@
 		costs[i] = partCost(e, c, part) + noise[i]
 		order[i] = i
 	}
-	slices.SortFunc(order, func(a, b int) int { return cmp.Compare(costs[a], costs[b]) })
-	chosen := order[:parts]
-	first, firstCost, ok := chooseFirst(e, p, board, chosen, noise)
+	first, total, ok := chooseFirst(e, p, board, costs, parts == 1)
 	if !ok {
 		return Plan{}, 0, false
 	}
-	total := firstCost + helperCost*float64(parts-1)
-	slowest := time.Duration(0)
-	for _, i := range chosen {
-		total += costs[i]
-		slowest = max(slowest, passWith(e, board[i], part))
-	}
-	total += p.weight() * lateness(slowest+PassTime(e, board[first].Load)/2, p.Objective)
 	plan := Plan{First: first, Reading: part}
-	for _, i := range chosen {
-		if i != first {
-			plan.Helpers = append(plan.Helpers, i)
+	slowest := passWith(e, board[first], part)
+	slices.SortFunc(order, func(a, b int) int { return cmp.Compare(costs[a], costs[b]) })
+	for _, i := range order {
+		if len(plan.Helpers) == parts-1 {
+			break
+		}
+		if i == first {
+			continue
 		}
+		plan.Helpers = append(plan.Helpers, i)
+		total += costs[i] + helperCost
+		slowest = max(slowest, passWith(e, board[i], part))
 	}
+	wait := slowest + PassTime(e, board[first].Load)/2 + slotWait(e, board[first])
+	total += p.weight() * lateness(wait, p.Objective)
+	plan.Expected = wait
 	plan.Reserve, ok = reserve(e, p, board, plan)
 	return plan, total, ok
 }
@@ -130,16 +134,15 @@
 	return cost
 }
 
-// chooseFirst chooses the endpoint that writes the answer, by its free slots and
-// memory and by the company that the stream has there.
-func chooseFirst(e *lavconfig.Engine, p Prompt, board []Candidate, chosen []int, noise []float64) (int, float64, bool) {
+// chooseFirst chooses the endpoint that writes the answer, by what its part
+// costs there, its free slots and memory, and the company that the stream has.
+func chooseFirst(e *lavconfig.Engine, p Prompt, board []Candidate, costs []float64, alone bool) (int, float64, bool) {
 	best, least := -1, math.Inf(1)
-	for _, i := range chosen {
-		c := board[i]
-		if len(chosen) == 1 && c.Memory+p.Tokens+p.Answer > memoryLimit(e) {
+	for i, c := range board {
+		if alone && c.Memory+p.Tokens+p.Answer > memoryLimit(e) {
 			continue
 		}
-		cost := slotCost(c) + float64(c.Memory)/float64(max(e.MemoryTokens, 1)) + noise[i]
+		cost := costs[i] + slotCost(c) + float64(c.Memory)/float64(max(e.MemoryTokens, 1))
 		if p.Strict() {
 			cost += companyCost(c)
 		} else {
@@ -167,6 +170,18 @@
 	return -companyGain * float64(c.Strict)
 }
 
+// slotWait is how long a prompt waits for a slot: those who have one end one
+// after the other.
+func slotWait(e *lavconfig.Engine, c Candidate) time.Duration {
+	ahead := c.Requests - c.Slots + 1
+	if ahead <= 0 || c.Slots <= 0 {
+		return 0
+	}
+	passes := e.UsualAnswer / float64(max(e.StepsPerPass, 1))
+	stream := time.Duration(passes * float64(PassTime(e, c.Load)))
+	return time.Duration(ahead) * stream / time.Duration(c.Slots)
+}
+
 func memoryLimit(e *lavconfig.Engine) int { return int(float64(e.MemoryTokens) * memoryPart) }
 
 // reserve returns the memory to reserve at the helpers for what of a prompt
--- a/lavplan/refuse.go
+++ b/lavplan/refuse.go
@@ -12,6 +12,17 @@
 	mostRetryAfter  = 3 * time.Second
 )
 
+// Admit reports whether a prompt should run as planned. A short stream that
+// would come late takes the slots of those that could be in time, while its
+// caller can come back as there is room. A long one is of use also late.
+func Admit(p Prompt, plan Plan) bool {
+	return !p.Strict() || plan.Expected <= p.Objective+admitSlack
+}
+
+// admitSlack is how much later than in time a first event may be expected, since
+// what is known of the others' work lags.
+const admitSlack = 250 * time.Millisecond
+
 // RetryAfter returns when room is expected: as the endpoint that has least to
 // read has read it.
 func RetryAfter(e *lavconfig.Engine, board []Candidate) time.Duration {
--- a/lavrelay/attempt.go
+++ b/lavrelay/attempt.go
@@ -51,6 +51,7 @@
 
 // request returns the request as the chosen endpoint gets it.
 func (t *task) request(c *choice, hold *hold) lavconn.Request {
+	silence, check := t.call.patience()
 	onward := platform.Onward{
 		Customer:  t.call.Customer,
 		Left:      time.Until(t.call.Deadline),
@@ -68,7 +69,8 @@
 		Header:   platform.EncodeOnward(t.call.Header, onward),
 		Body:     t.call.Body,
 		Fresh:    !t.call.Route.Repeatable(),
-		Patience: t.call.patience(),
+		Patience: silence,
+		Check:    check,
 	}
 }
 
--- a/lavrelay/call.go
+++ b/lavrelay/call.go
@@ -40,16 +40,20 @@
 	abandonObjectives = 4
 	abandonPauses     = 8
 	// patiencePart is the part of that silence after which a stream is taken
-	// to another endpoint.
-	patiencePart = 0.55
+	// to another endpoint, and checkPart that after which the endpoint is
+	// looked at.
+	patiencePart = 0.85
+	checkPart    = 0.4
 )
 
 // patience returns how long an endpoint may be silent before the request is
-// taken elsewhere, or zero if it can't be.
-func (c *Call) patience() time.Duration {
+// taken elsewhere, and before it is looked at; zero if it can't be.
+func (c *Call) patience() (silence, check time.Duration) {
 	if c.Route.Kind != lavconfig.KindStreaming || !c.Route.Repeatable() {
-		return 0
+		return 0, 0
 	}
-	longest := max(abandonFloor, abandonObjectives*c.Route.Objective, abandonPauses*c.Route.PauseObjective)
-	return time.Duration(float64(longest) * patiencePart)
+	longest := max(abandonFloor, abandonObjectives*c.Route.Objective, abandonPauses*c.Route.PauseObjective).Seconds()
+	return seconds(longest * patiencePart), seconds(longest * checkPart)
 }
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- a/lavrelay/relay.go
+++ b/lavrelay/relay.go
@@ -175,7 +175,7 @@
 	} else {
 		plan, ok = lavplan.PlaceCall(b.Candidates, t.relay.draw)
 	}
-	if !ok {
+	if !ok || t.arrivals == 0 && !lavplan.Admit(t.call.Prompt, plan) {
 		return nil
 	}
 	c := &choice{endpoint: b.Endpoints[plan.First], plan: plan}
