Let waits in time cost too, so that prompts are read by more endpoints

Cause: with only lateness counted, reviews were read by one or two endpoints for seconds, and each queue ahead made the next one late.

--- a/lavplan/prompt.go
+++ b/lavplan/prompt.go
@@ -50,19 +50,16 @@
 // for certain, as far as this host knows.
 const easyPart = 0.6
 
-// lateness grows from 0 to 1 as an expected wait nears the objective, and on
-// more slowly beyond it.
+// slowCost is what a wait as long as the objective costs even if it is in time:
+// the endpoints that a prompt leaves sooner serve the next one sooner.
+const slowCost = 0.5
+
+// lateness grows slowly with an expected wait, faster as it nears the
+// objective, and slowly again beyond it.
 func lateness(wait, objective time.Duration) float64 {
 	if objective <= 0 {
 		return wait.Seconds()
 	}
-	over := (wait.Seconds()/objective.Seconds() - easyPart) / (1 - easyPart)
-	switch {
-	case over <= 0:
-		return 0
-	case over <= 1:
-		return over
-	default:
-		return 1 + (over-1)/10
-	}
+	share := wait.Seconds() / objective.Seconds()
+	return slowCost*share + min(max((share-easyPart)/(1-easyPart), 0), 1)
 }
