Wait rather than meet other long prompts in one pass; measure endpoints' pace

Cause: two or three reviews read in one pass make it longer than any stream bears, and a slow endpoint holds up each prompt that it helps with. Change: a prompt whose parts would meet others waits while it can; hosts tell each other of long readings at once; the pace of an endpoint is measured by the gaps of its streams.

--- a/lavfleet/fleet.go
+++ b/lavfleet/fleet.go
@@ -35,8 +35,10 @@
 	endpoints map[lavconfig.Life]*state
 	services  map[string]*service
 	out       map[string]bool
-	peers     map[string]peerLoad
+	peers     map[string]peerReport
 	hosts     int
+	// changed tells of long readings that began or ended.
+	changed chan struct{}
 }
 
 // service is the endpoints of one service, in order of their IDs.
@@ -53,11 +55,22 @@
 	peers lavplan.Load
 	sent  window
 	doubt doubt
+	pace  pace
+	// peerPace is the slowest pace that a peer tells of.
+	peerPace float64
 }
 
-type peerLoad struct {
-	at    time.Time
-	loads map[lavconfig.Life]lavplan.Load
+// Report is what a host tells its peers of the endpoints.
+type Report struct {
+	// Loads is what the host has running, and Slow the pace of the endpoints
+	// that it has seen to be slow.
+	Loads map[lavconfig.Life]lavplan.Load
+	Slow  map[lavconfig.Life]float64
+}
+
+type peerReport struct {
+	Report
+	at time.Time
 }
 
 // New returns a fleet without endpoints.
@@ -67,8 +80,20 @@
 		endpoints: make(map[lavconfig.Life]*state),
 		services:  make(map[string]*service),
 		out:       make(map[string]bool),
-		peers:     make(map[string]peerLoad),
+		peers:     make(map[string]peerReport),
 		hosts:     1,
+		changed:   make(chan struct{}, 1),
+	}
+}
+
+// Changed tells that this host's work has changed so much that peers should
+// hear of it at once.
+func (f *Fleet) Changed() <-chan struct{} { return f.changed }
+
+func (f *Fleet) change() {
+	select {
+	case f.changed <- struct{}{}:
+	default:
 	}
 }
 
@@ -128,17 +153,17 @@
 }
 
 // Hear takes over what a peer has running.
-func (f *Fleet) Hear(peer string, loads map[lavconfig.Life]lavplan.Load) {
+func (f *Fleet) Hear(peer string, r Report) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.peers[peer] = peerLoad{at: time.Now(), loads: loads}
+	f.peers[peer] = peerReport{at: time.Now(), Report: r}
 	f.sumPeers()
 }
 
 // sumPeers adds up what the peers told lately. The caller holds the lock.
 func (f *Fleet) sumPeers() {
 	for _, s := range f.endpoints {
-		s.peers = lavplan.Load{}
+		s.peers, s.peerPace = lavplan.Load{}, 1
 	}
 	now := time.Now()
 	for peer, told := range f.peers {
@@ -146,25 +171,34 @@
 			delete(f.peers, peer)
 			continue
 		}
-		for life, load := range told.loads {
+		for life, load := range told.Loads {
 			if s := f.endpoints[life]; s != nil {
 				s.peers = s.peers.Plus(load)
 			}
 		}
+		for life, factor := range told.Slow {
+			if s := f.endpoints[life]; s != nil {
+				s.peerPace = max(s.peerPace, factor)
+			}
+		}
 	}
 }
 
-// Own returns what this host has running, by endpoint.
-func (f *Fleet) Own() map[lavconfig.Life]lavplan.Load {
+// Own returns what this host tells its peers.
+func (f *Fleet) Own() Report {
+	now := time.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	own := make(map[lavconfig.Life]lavplan.Load)
+	r := Report{Loads: make(map[lavconfig.Life]lavplan.Load), Slow: make(map[lavconfig.Life]float64)}
 	for life, s := range f.endpoints {
 		if !s.own.Zero() {
-			own[life] = s.own
+			r.Loads[life] = s.own
+		}
+		if p := s.pace.now(now); p > 1 {
+			r.Slow[life] = p
 		}
 	}
-	return own
+	return r
 }
 
 // InService reports whether an endpoint may take new requests.
@@ -228,6 +262,7 @@
 		b.Candidates = append(b.Candidates, lavplan.Candidate{
 			Load:     s.own.Plus(s.peers),
 			Slots:    s.Slots,
+			Pace:     max(s.pace.now(now), s.peerPace),
 			Doubtful: s.doubt.holds(now),
 		})
 	}
--- a/lavfleet/run.go
+++ b/lavfleet/run.go
@@ -38,9 +38,19 @@
 	for _, p := range parts {
 		r.add(p.Life, p.Load)
 	}
+	r.changed()
 	return r
 }
 
+// longReading is the reading on all endpoints of which peers hear at once.
+const longReading = 150 * time.Millisecond
+
+func (r *Run) changed() {
+	if time.Duration(len(r.parts))*r.parts[0].Load.Reading > longReading {
+		r.fleet.change()
+	}
+}
+
 func (r *Run) add(life lavconfig.Life, load lavplan.Load) {
 	if s := r.fleet.endpoints[life]; s != nil {
 		s.own = s.own.Plus(load)
@@ -51,6 +61,7 @@
 func (r *Run) Started() {
 	r.fleet.mu.Lock()
 	defer r.fleet.mu.Unlock()
+	r.changed()
 	for i := range r.parts {
 		p := &r.parts[i]
 		r.add(p.Life, lavplan.Load{Reading: -p.Load.Reading})
@@ -63,6 +74,7 @@
 	now := time.Now()
 	r.fleet.mu.Lock()
 	defer r.fleet.mu.Unlock()
+	r.changed()
 	for _, p := range r.parts {
 		r.add(p.Life, lavplan.Load{}.Minus(p.Load))
 	}
--- a/lavhost/peers.go
+++ b/lavhost/peers.go
@@ -57,6 +57,8 @@
 type lifeLoad struct {
 	Life lavconfig.Life `cbor:"1,keyasint"`
 	Load lavplan.Load   `cbor:"2,keyasint"`
+	// Pace is 0 for an endpoint that is as quick as usual.
+	Pace float64 `cbor:"3,keyasint,omitempty"`
 }
 
 // news are entries that have changed.
@@ -213,6 +215,9 @@
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
+		case <-p.fleet.Changed():
+			p.sendBeat()
+			continue
 		case <-tick.C:
 		}
 		p.listed()
@@ -238,8 +243,9 @@
 func (p *peers) sendBeat() {
 	_, good := p.belief.check()
 	b := beat{Member: p.Self(), Digest: p.knowledge.Digest(), Good: good, Fresh: p.control.fresh()}
-	for life, load := range p.fleet.Own() {
-		b.Loads = append(b.Loads, lifeLoad{Life: life, Load: load})
+	own := p.fleet.Own()
+	for life, load := range own.Loads {
+		b.Loads = append(b.Loads, lifeLoad{Life: life, Load: load, Pace: own.Slow[life]})
 	}
 	if _, err := p.mesh.Spread(lavmesh.TopicBeat, b); err != nil {
 		p.logger.Warn().Err(err).Msg("beat not sent")
@@ -252,11 +258,17 @@
 	if err := lavmesh.Decode(body, &b); err != nil {
 		return nil, err
 	}
-	loads := make(map[lavconfig.Life]lavplan.Load, len(b.Loads))
+	report := lavfleet.Report{
+		Loads: make(map[lavconfig.Life]lavplan.Load, len(b.Loads)),
+		Slow:  make(map[lavconfig.Life]float64),
+	}
 	for _, l := range b.Loads {
-		loads[l.Life] = l.Load
+		report.Loads[l.Life] = l.Load
+		if l.Pace > 1 {
+			report.Slow[l.Life] = l.Pace
+		}
 	}
-	p.fleet.Hear(b.Member.Incarnation, loads)
+	p.fleet.Hear(b.Member.Incarnation, report)
 	digest := p.knowledge.Digest()
 	now := time.Now()
 	p.mu.Lock()
--- a/lavplan/engine.go
+++ b/lavplan/engine.go
@@ -57,7 +57,7 @@
 	return time.Duration((linear + pairs) / float64(max(parts, 1)))
 }
 
-// PassTime returns how long a pass takes that only writes.
+// PassTime returns how long a pass takes that only writes, at usual pace.
 func PassTime(e *lavconfig.Engine, l Load) time.Duration {
 	step := e.Step + time.Duration(l.Requests)*e.StepPerRequest
 	step += time.Duration(float64(l.Memory) / 1000 * float64(e.StepPer1000Context))
--- a/lavplan/place.go
+++ b/lavplan/place.go
@@ -14,6 +14,8 @@
 	Load
 	// Slots is how many requests run at a time; more wait.
 	Slots int
+	// Pace is how many times longer than usual the endpoint's work takes.
+	Pace float64
 	// Doubtful endpoints have failed lately and are taken if no other can.
 	Doubtful bool
 }
@@ -26,6 +28,9 @@
 	Reading time.Duration
 	// Expected is the time to the first event, as far as the board tells.
 	Expected time.Duration
+	// Wait is true if the prompt had better wait until others have been read:
+	// read now, its parts meet theirs in one pass.
+	Wait bool
 	// Reserve is the memory to be reserved at helpers, in their order; missing
 	// ones hold nothing.
 	Reserve []int
@@ -35,6 +40,8 @@
 	// maxParts is the number of endpoints that may read one prompt: the first
 	// and the helpers that it may name.
 	maxParts = 17
+	// longTokens is the length of prompts that may wait for others to be read.
+	longTokens = 12_000
 	// memoryPart is the part of an engine's memory that plans fill, since what
 	// is known of it lags.
 	memoryPart = 0.92
@@ -55,8 +62,9 @@
 	openCost = 0.5
 	// companyGain draws short streams to endpoints that have some.
 	companyGain = 0.03
-	// readCost is the cost of a second of reading that lies ahead.
-	readCost = 2.0
+	// readCost is the cost of a second of reading that lies ahead: of two
+	// endpoints that are harmed alike the idler one is taken.
+	readCost = 0.2
 	// helperCost is what each helper adds: one more endpoint whose loss would
 	// hold the prompt up.
 	helperCost = 0.02
@@ -100,6 +108,7 @@
 	}
 	plan := Plan{First: first, Reading: part}
 	slowest := passWith(e, board[first], part)
+	met := metHarm(e, board[first], part)
 	slices.SortFunc(order, func(a, b int) int { return cmp.Compare(costs[a], costs[b]) })
 	for _, i := range order {
 		if len(plan.Helpers) == parts-1 {
@@ -111,23 +120,38 @@
 		plan.Helpers = append(plan.Helpers, i)
 		total += costs[i] + helperCost
 		slowest = max(slowest, passWith(e, board[i], part))
+		met += metHarm(e, board[i], part)
 	}
-	wait := slowest + PassTime(e, board[first].Load)/2 + slotWait(e, board[first])
+	wait := slowest + board[first].paced(PassTime(e, board[first].Load)/2+slotWait(e, board[first]))
 	total += p.weight() * lateness(wait, p.Objective)
 	plan.Expected = wait
+	plan.Wait = met > 0 && p.Tokens > longTokens
 	plan.Reserve, ok = reserve(e, p, board, plan)
 	return plan, total, ok
 }
 
 // passWith returns the length of the pass in which an endpoint reads a part.
 func passWith(e *lavconfig.Engine, c Candidate, part time.Duration) time.Duration {
-	return PassTime(e, c.Load) + c.Reading + part
+	return c.paced(PassTime(e, c.Load) + c.Reading + part)
+}
+
+// paced returns how long work takes at the endpoint's pace.
+func (c Candidate) paced(d time.Duration) time.Duration {
+	return time.Duration(float64(d) * max(c.Pace, 1))
+}
+
+// metHarm is what reading a part at an endpoint now costs more than reading it
+// once the endpoint has read what lies ahead.
+func metHarm(e *lavconfig.Engine, c Candidate, part time.Duration) float64 {
+	idle := PassTime(e, c.Load)
+	now := c.harm(c.paced(idle+c.Reading+part)) - c.harm(c.paced(idle+c.Reading))
+	return now - (c.harm(c.paced(idle+part)) - c.harm(c.paced(idle)))
 }
 
 // partCost is what reading a part at an endpoint costs others.
 func partCost(e *lavconfig.Engine, c Candidate, part time.Duration) float64 {
-	before := passWith(e, c, 0)
-	cost := c.harm(before+part) - c.harm(before) + readCost*c.Reading.Seconds()
+	before, after := passWith(e, c, 0), passWith(e, c, part)
+	cost := c.harm(after) - c.harm(before) + readCost*c.Reading.Seconds()
 	if c.Doubtful {
 		cost += doubtCost
 	}
--- a/lavrelay/call.go
+++ b/lavrelay/call.go
@@ -52,8 +52,13 @@
 	if c.Route.Kind != lavconfig.KindStreaming || !c.Route.Repeatable() {
 		return 0, 0
 	}
-	longest := max(abandonFloor, abandonObjectives*c.Route.Objective, abandonPauses*c.Route.PauseObjective).Seconds()
+	longest := c.abandoned().Seconds()
 	return seconds(longest * patiencePart), seconds(longest * checkPart)
 }
 
+// abandoned returns the silence after which the caller leaves.
+func (c *Call) abandoned() time.Duration {
+	return max(abandonFloor, abandonObjectives*c.Route.Objective, abandonPauses*c.Route.PauseObjective)
+}
+
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- a/lavrelay/relay.go
+++ b/lavrelay/relay.go
@@ -137,47 +137,70 @@
 
 // Times of waiting for an endpoint that may take a request.
 const (
-	choosePause = 60 * time.Millisecond
+	choosePause = 15 * time.Millisecond
 	// choosePart is the part of the objective that may pass in waiting.
 	choosePart = 0.5
+	// waitSlack is left of an objective for two passes and the way to the
+	// caller.
+	waitSlack = 200 * time.Millisecond
 )
 
 // choose picks endpoints and counts the run there. While endpoints are left out
-// only because they may be cold, it waits a little.
+// only because they may be cold, and while the prompt had better wait for others
+// to be read, it waits a little.
 func (t *task) choose(ctx context.Context) (*choice, Outcome) {
-	until := time.Now().Add(time.Duration(float64(t.call.Route.Objective) * choosePart))
+	begun := time.Now()
+	until := begun.Add(time.Duration(float64(t.call.Route.Objective) * choosePart))
+	lateUntil := t.call.Arrived.Add(t.call.abandoned() / 2)
 	for {
 		board, ok := t.relay.fleet.Board(t.call.Service, func(l lavconfig.Life) bool { return t.tried[l] })
 		if !ok {
 			return nil, OutcomeNoEndpoint
 		}
-		c := t.plan(board)
-		if c != nil {
-			return c, 0
+		inTime := time.Now().Before(until)
+		plan, ok := t.plan(board)
+		if ok && !(plan.Wait && t.mayWait(plan, lateUntil)) {
+			if c := t.begin(board, plan); c != nil {
+				t.trace.held = time.Since(begun)
+				return c, 0
+			}
 		}
-		t.retryAfter = lavplan.RetryAfter(board.Service.Engine, board.Candidates)
-		if !board.Bound || time.Now().After(until) {
+		if !ok && !(board.Bound && inTime) {
+			t.retryAfter = lavplan.RetryAfter(board.Service.Engine, board.Candidates)
 			return nil, OutcomeFull
 		}
 		select {
 		case <-ctx.Done():
 			return nil, OutcomeFull
-		case <-time.After(choosePause):
+		case <-time.After(choosePause + time.Duration(t.relay.draw()*float64(choosePause))):
 		}
 	}
 }
 
-func (t *task) plan(b lavfleet.Board) *choice {
-	var plan lavplan.Plan
-	var ok bool
-	if b.Service.Engine != nil {
-		plan, ok = lavplan.Place(b.Service.Engine, t.call.Prompt, b.Candidates, t.relay.draw)
-	} else {
-		plan, ok = lavplan.PlaceCall(b.Candidates, t.relay.draw)
+// mayWait reports whether a prompt that had better wait can: until it would come
+// late, or, if it comes late anyway, for as long as its caller stays.
+func (t *task) mayWait(plan lavplan.Plan, lateUntil time.Time) bool {
+	now := time.Now()
+	done := now.Add(plan.Reading + waitSlack)
+	if done.Before(t.call.Arrived.Add(t.call.Route.Objective)) {
+		return true
 	}
-	if !ok || t.arrivals == 0 && !lavplan.Admit(t.call.Prompt, plan) {
-		return nil
+	late := now.Add(plan.Expected).After(t.call.Arrived.Add(t.call.Route.Objective))
+	return late && now.Before(lateUntil)
+}
+
+// plan decides where the request runs, or reports false if it should not.
+func (t *task) plan(b lavfleet.Board) (lavplan.Plan, bool) {
+	if b.Service.Engine == nil {
+		return lavplan.PlaceCall(b.Candidates, t.relay.draw)
 	}
+	plan, ok := lavplan.Place(b.Service.Engine, t.call.Prompt, b.Candidates, t.relay.draw)
+	return plan, ok && (t.arrivals > 0 || lavplan.Admit(t.call.Prompt, plan))
+}
+
+// begin counts the run at the endpoints of a plan. It returns nil if the first
+// one may not take the request any more.
+func (t *task) begin(b lavfleet.Board, plan lavplan.Plan) *choice {
 	c := &choice{endpoint: b.Endpoints[plan.First], plan: plan}
 	for _, h := range plan.Helpers {
 		c.helpers = append(c.helpers, b.Endpoints[h])
--- a/lavrelay/stream.go
+++ b/lavrelay/stream.go
@@ -26,6 +26,7 @@
 	patience, _ := t.call.patience()
 	buffer := make([]byte, streamBuffer)
 	started := false
+	var before time.Time
 	for {
 		if patience > 0 {
 			if err := answer.SetPatience(patience); err != nil {
@@ -35,9 +36,15 @@
 		n, err := answer.Read(buffer)
 		if n > 0 {
 			whole := t.events.feed(buffer[:n])
-			if len(whole) > 0 && !started {
-				started = true
-				c.run.Started()
+			if len(whole) > 0 {
+				now := time.Now()
+				if started {
+					c.run.Event(now.Sub(before))
+				} else {
+					started = true
+					c.run.Started()
+				}
+				before = now
 			}
 			if t.write(answer, whole) != nil {
 				return OutcomeLeft, nil
@@ -67,12 +74,12 @@
 	if t.write(answer, rest) != nil {
 		return OutcomeLeft, nil
 	}
-	t.begin(answer)
+	t.answer(answer)
 	return OutcomeDone, nil
 }
 
-// begin sends the head of the first answer, once.
-func (t *task) begin(answer *lavconn.Answer) {
+// answer sends the head of the first answer, once.
+func (t *task) answer(answer *lavconn.Answer) {
 	if t.begun {
 		return
 	}
@@ -86,7 +93,7 @@
 	if len(p) == 0 {
 		return nil
 	}
-	t.begin(answer)
+	t.answer(answer)
 	t.trace.event(time.Now(), t.call.Arrived)
 	if _, err := t.out.Write(p); err != nil {
 		return errors.CombineErrors(errCallerGone, err)
--- a/lavrelay/trace.go
+++ b/lavrelay/trace.go
@@ -13,10 +13,12 @@
 	helpers   int
 	reading   time.Duration
 	refusals  int
-	failure   string
-	first     time.Duration
-	last      time.Time
-	pause     time.Duration
+	// held is how long the last attempt waited before it was sent.
+	held    time.Duration
+	failure string
+	first   time.Duration
+	last    time.Time
+	pause   time.Duration
 }
 
 func (t *trace) send(c *choice) {
@@ -53,6 +55,7 @@
 		Strs("Endpoints", t.trace.endpoints).
 		Int("Helpers", t.trace.helpers).
 		Dur("Reading", t.trace.reading).
+		Dur("Held", t.trace.held).
 		Int("Runs", t.runs).
 		Int("Refusals", t.trace.refusals).
 		Int("Events", t.events.count).
