--- a/lavfleet/fleet.go
+++ b/lavfleet/fleet.go
@@ -51,11 +51,15 @@
 // state is an endpoint and what is known of it.
 type state struct {
 	lavconfig.Endpoint
-	own   lavplan.Load
-	peers lavplan.Load
-	sent  window
-	doubt doubt
-	pace  pace
+	// own is this host's work but for its reading, which readings hold.
+	own      lavplan.Load
+	readings []*reading
+	// peers is the others' work as of peersAt.
+	peers   lavplan.Load
+	peersAt time.Time
+	sent    window
+	doubt   doubt
+	pace    pace
 	// peerPace is the slowest pace that a peer tells of.
 	peerPace float64
 }
@@ -162,10 +166,10 @@
 
 // sumPeers adds up what the peers told lately. The caller holds the lock.
 func (f *Fleet) sumPeers() {
+	now := time.Now()
 	for _, s := range f.endpoints {
-		s.peers, s.peerPace = lavplan.Load{}, 1
+		s.peers, s.peerPace, s.peersAt = lavplan.Load{}, 1, now
 	}
-	now := time.Now()
 	for peer, told := range f.peers {
 		if now.Sub(told.at) > loadTimeout {
 			delete(f.peers, peer)
@@ -173,6 +177,7 @@
 		}
 		for life, load := range told.Loads {
 			if s := f.endpoints[life]; s != nil {
+				load.Reading = max(load.Reading-now.Sub(told.at), 0)
 				s.peers = s.peers.Plus(load)
 			}
 		}
@@ -191,8 +196,10 @@
 	defer f.mu.Unlock()
 	r := Report{Loads: make(map[lavconfig.Life]lavplan.Load), Slow: make(map[lavconfig.Life]float64)}
 	for life, s := range f.endpoints {
-		if !s.own.Zero() {
-			r.Loads[life] = s.own
+		load := s.own
+		load.Reading = s.ownReading(now)
+		if !load.Zero() {
+			r.Loads[life] = load
 		}
 		if p := s.pace.now(now); p > 1 {
 			r.Slow[life] = p
@@ -259,8 +266,10 @@
 			continue
 		}
 		b.Endpoints = append(b.Endpoints, s.Endpoint)
+		load := s.own.Plus(s.peers)
+		load.Reading = s.ahead(now)
 		b.Candidates = append(b.Candidates, lavplan.Candidate{
-			Load:     s.own.Plus(s.peers),
+			Load:     load,
 			Slots:    s.Slots,
 			Pace:     max(s.pace.now(now), s.peerPace),
 			Doubtful: s.doubt.holds(now),
--- a/lavfleet/run.go
+++ b/lavfleet/run.go
@@ -18,6 +18,9 @@
 type Run struct {
 	fleet *Fleet
 	parts []Part
+	// readings are the parts of the prompt, in the order of parts, until the
+	// prompt has been read.
+	readings []*reading
 }
 
 // Begin counts a run. The first part is the endpoint that gets the request.
@@ -36,12 +39,23 @@
 	first.sent.add(now)
 	r := &Run{fleet: f, parts: parts}
 	for _, p := range parts {
-		r.add(p.Life, p.Load)
+		r.begin(now, p)
 	}
 	r.changed()
 	return r
 }
 
+// begin counts one part. The caller holds the fleet's lock, as for the others.
+func (r *Run) begin(now time.Time, p Part) {
+	var reads *reading
+	if s := r.fleet.endpoints[p.Life]; s != nil {
+		reads = s.read(now, p.Load.Reading)
+		p.Load.Reading = 0
+		s.own = s.own.Plus(p.Load)
+	}
+	r.readings = append(r.readings, reads)
+}
+
 // longReading is the reading on all endpoints of which peers hear at once.
 const longReading = 150 * time.Millisecond
 
@@ -51,38 +65,47 @@
 	}
 }
 
-func (r *Run) add(life lavconfig.Life, load lavplan.Load) {
-	if s := r.fleet.endpoints[life]; s != nil {
-		s.own = s.own.Plus(load)
-	}
-}
-
 // Started tells that the prompt has been read: the first event came.
 func (r *Run) Started() {
 	r.fleet.mu.Lock()
 	defer r.fleet.mu.Unlock()
-	r.changed()
-	for i := range r.parts {
-		p := &r.parts[i]
-		r.add(p.Life, lavplan.Load{Reading: -p.Load.Reading})
-		p.Load.Reading = 0
+	if r.endReading() {
+		r.changed()
+	}
+}
+
+// endReading takes the readings away and reports whether there were any.
+func (r *Run) endReading() bool {
+	if r.readings == nil {
+		return false
+	}
+	for i, p := range r.parts {
+		if s := r.fleet.endpoints[p.Life]; s != nil {
+			s.hasRead(r.readings[i])
+		}
 	}
+	r.readings = nil
+	return true
 }
 
-// End counts the run off. Good tells whether the endpoint did its part.
-func (r *Run) End(good Verdict) {
+// End counts the run off, with what it tells of its first endpoint.
+func (r *Run) End(v Verdict) {
 	now := time.Now()
 	r.fleet.mu.Lock()
 	defer r.fleet.mu.Unlock()
+	r.endReading()
 	r.changed()
 	for _, p := range r.parts {
-		r.add(p.Life, lavplan.Load{}.Minus(p.Load))
+		if s := r.fleet.endpoints[p.Life]; s != nil {
+			p.Load.Reading = 0
+			s.own = s.own.Minus(p.Load)
+		}
 	}
 	s := r.fleet.endpoints[r.parts[0].Life]
 	if s == nil {
 		return
 	}
-	switch good {
+	switch v {
 	case VerdictGood:
 		s.doubt.clear()
 	case VerdictBad:
--- a/lavplan/place.go
+++ b/lavplan/place.go
@@ -57,11 +57,16 @@
 	// are left to those of whom this host hasn't heard yet.
 	crowdCost = 0.12
 	crowdPart = 0.7
-	// openCost is the cost of short streams on one more endpoint: it can read
-	// long prompts no longer without making them late.
+	// openCost is the cost of streams on one more endpoint: it can read long
+	// prompts no longer without making them late.
 	openCost = 0.5
-	// companyGain draws short streams to endpoints that have some.
+	// companyGain draws streams to endpoints that have some of their kind.
 	companyGain = 0.03
+	// mixCost is the cost of short streams beside long ones, whose prompts are
+	// read there in part.
+	mixCost = 1.0
+	// reserveCost is the cost of memory that has to be reserved elsewhere.
+	reserveCost = 1.0
 	// readCost is the cost of a second of reading that lies ahead: of two
 	// endpoints that are harmed alike the idler one is taken.
 	readCost = 0.2
@@ -167,11 +172,9 @@
 			continue
 		}
 		cost := costs[i] + slotCost(c) + float64(c.Memory)/float64(max(e.MemoryTokens, 1))
-		if p.Strict() {
-			cost += companyCost(c)
-		} else {
-			// A long context slows the steps of those who write beside it.
-			cost += companyGain * float64(c.Strict)
+		cost += companyCost(p, c)
+		if c.Memory+p.Tokens+p.Answer > memoryLimit(e) {
+			cost += reserveCost
 		}
 		if cost < least {
 			best, least = i, cost
@@ -187,11 +190,21 @@
 	return crowdCost * max(float64(c.Requests)-crowdPart*float64(c.Slots), 0)
 }
 
-func companyCost(c Candidate) float64 {
-	if c.Strict == 0 {
+// companyCost is what a stream costs by its place among others: streams gather,
+// so that many endpoints have none and may read for as long as they like.
+func companyCost(p Prompt, c Candidate) float64 {
+	kin, others := c.Strict, c.Requests-c.Strict
+	if !p.Strict() {
+		kin, others = others, kin
+	}
+	switch {
+	case c.Requests == 0:
 		return openCost
+	case others > 0:
+		return mixCost - companyGain*float64(kin)
+	default:
+		return -companyGain * float64(kin)
 	}
-	return -companyGain * float64(c.Strict)
 }
 
 // slotWait is how long a prompt waits for a slot: those who have one end one
