Refuse at once what would come late in a busy fleet, and serve who comes back

Cause: prompts that can't be in time were read before those that could, so that after one prompt of 840,000 tokens all others of eight seconds came late. Change: a late prompt is refused while much is to be read, with the time until that has been read; one who comes back is served also late; a prompt that would take the whole fleet long takes a quarter of it while others wait.

--- a/lavhost/ingress.go
+++ b/lavhost/ingress.go
@@ -40,6 +40,8 @@
 	logger  *log.Logger
 	running atomic.Int64
 	served  atomic.Int64
+	// patiences tells callers who come back.
+	patiences patiences
 }
 
 // ServeHTTP implements http.Handler.
@@ -75,7 +77,7 @@
 		i.refuse(w, said, status, "body not read")
 		return
 	}
-	c := newCall(r, said, route, customer, body, arrived)
+	c := newCall(r, said, route, customer, body, arrived, i.patiences.returned(route.Name, said.Patience))
 	c.Version = index.Version()
 	if err := http.NewResponseController(w).SetWriteDeadline(c.Deadline.Add(writeSlack)); err != nil {
 		i.logger.Warn().Err(err).Msg("no bound on writing")
@@ -139,7 +141,7 @@
 	_, _ = io.WriteString(w, why+"\n")
 }
 
-func newCall(r *http.Request, said platform.Request, route *lavconfig.Route, customer string, body []byte, arrived time.Time) *lavrelay.Call {
+func newCall(r *http.Request, said platform.Request, route *lavconfig.Route, customer string, body []byte, arrived time.Time, returned bool) *lavrelay.Call {
 	return &lavrelay.Call{
 		ID:       said.ID,
 		Method:   r.Method,
@@ -155,6 +157,7 @@
 			Answer:    said.AnswerTokens,
 			Objective: route.Objective,
 			Pause:     route.PauseObjective,
+			Returned:  returned,
 		},
 		LastEvent:   said.LastEvent,
 		Deadline:    deadline(arrived, said.Patience, route.Timeout),
--- a/lavplan/place.go
+++ b/lavplan/place.go
@@ -88,14 +88,54 @@
 	for i := range noise {
 		noise[i] = draw() * tieSpread
 	}
-	best, least := Plan{}, math.Inf(1)
-	for parts := 1; parts <= min(maxParts, len(board)); parts++ {
+	least, most := partsFor(e, p, board)
+	lowest := math.Inf(1)
+	best := Plan{}
+	for parts := least; parts <= most; parts++ {
 		plan, cost, ok := placeParts(e, p, board, noise, parts)
-		if ok && cost < least {
-			best, least = plan, cost
+		if ok && cost < lowest {
+			best, lowest = plan, cost
 		}
 	}
-	return best, !math.IsInf(least, 1)
+	return best, !math.IsInf(lowest, 1)
+}
+
+// Bounds of the parts of a prompt that takes the whole fleet long to read.
+const (
+	// bulkTime is the time of reading on all endpoints from which a prompt is
+	// bulk: others would wait too long for the endpoints that it takes.
+	bulkTime = 800 * time.Millisecond
+	// bulkShare is the share of the endpoints that such a prompt takes, unless
+	// it would then take longer than bulkLimit.
+	bulkShare = 0.25
+	bulkLimit = 8500 * time.Millisecond
+)
+
+// partsFor returns the least and the most parts that a prompt is read in.
+func partsFor(e *lavconfig.Engine, p Prompt, board []Candidate) (least, most int) {
+	most = min(maxParts, len(board))
+	if ReadTime(e, p.Tokens, most) < bulkTime || !Busy(board) {
+		return 1, most
+	}
+	whole := ReadTime(e, p.Tokens, 1)
+	least = int(whole/bulkLimit) + 1
+	bulk := max(least, int(bulkShare*float64(len(board))))
+	return min(least, most), min(bulk, most)
+}
+
+// busyTime is the reading ahead at the mean endpoint from which a fleet is busy.
+const busyTime = 150 * time.Millisecond
+
+// Busy reports whether much is to be read already.
+func Busy(board []Candidate) bool { return backlog(board) > busyTime }
+
+// backlog returns the reading ahead at the mean endpoint.
+func backlog(board []Candidate) time.Duration {
+	var sum time.Duration
+	for _, c := range board {
+		sum += c.Reading
+	}
+	return sum / time.Duration(max(len(board), 1))
 }
 
 // placeParts chooses so many endpoints for the parts of a prompt.
--- a/lavplan/prompt.go
+++ b/lavplan/prompt.go
@@ -11,6 +11,21 @@
 	Objective time.Duration
 	// Pause is the longest pause between events that is in time.
 	Pause time.Duration
+	// Returned is true if the caller was refused and has come back.
+	Returned bool
+}
+
+// Callers leave a stream after the longest of these silences: a time, so many
+// objectives, so many pause objectives.
+const (
+	abandonFloor      = 2 * time.Second
+	abandonObjectives = 4
+	abandonPauses     = 8
+)
+
+// Abandoned returns the silence after which the caller leaves.
+func (p Prompt) Abandoned() time.Duration {
+	return max(abandonFloor, abandonObjectives*p.Objective, abandonPauses*p.Pause)
 }
 
 // Streams fall into classes by the pauses that they bear. One pass that is
--- a/lavplan/refuse.go
+++ b/lavplan/refuse.go
@@ -1,40 +1,44 @@
 package lavplan
 
-import (
-	"time"
-
-	"lavenderrack.example/lavenderrack/lavconfig"
-)
+import "time"
+
+// admitMargin is how much earlier than its objective a first event must be
+// expected, since what is known of the others' work lags.
+const admitMargin = 20 * time.Millisecond
+
+// returnedLimit is the part of the time after which callers leave within which
+// a first event must be expected for one who has come back.
+const returnedLimit = 0.6
+
+// Admit reports whether a prompt should run as planned. One that would come late
+// takes the room of those that could be in time, while its caller can come back
+// as there is room. One who has come back is served also late, and so are long
+// prompts while the fleet has room.
+func Admit(p Prompt, plan Plan, board []Candidate) bool {
+	switch {
+	case plan.Expected <= p.Objective-admitMargin:
+		return true
+	case p.Returned:
+		return plan.Expected < time.Duration(returnedLimit*float64(p.Abandoned()))
+	default:
+		return !p.Strict() && !Busy(board)
+	}
+}
 
 // Bounds of the time after which a refused caller is asked back.
 const (
-	leastRetryAfter = 300 * time.Millisecond
-	mostRetryAfter  = 3 * time.Second
+	leastRetryAfter = 1200 * time.Millisecond
+	mostRetryAfter  = 5 * time.Second
+	// retrySpread keeps those who are refused together from coming back so, in
+	// parts of the time.
+	retrySpread = 0.5
 )
 
-// Admit reports whether a prompt should run as planned. A short stream that
-// would come late takes the slots of those that could be in time, while its
-// caller can come back as there is room. A long one is of use also late.
-func Admit(p Prompt, plan Plan) bool {
-	return !p.Strict() || plan.Expected <= p.Objective+admitSlack
-}
-
-// admitSlack is how much later than in time a first event may be expected, since
-// what is known of the others' work lags.
-const admitSlack = 250 * time.Millisecond
-
-// RetryAfter returns when room is expected: as the endpoint that has least to
-// read has read it.
-func RetryAfter(e *lavconfig.Engine, board []Candidate) time.Duration {
-	soonest := mostRetryAfter
-	for _, c := range board {
-		wait := c.Reading
-		if e != nil {
-			wait += PassTime(e, c.Load)
-		}
-		soonest = min(soonest, wait)
-	}
-	return max(soonest, leastRetryAfter)
+// RetryAfter returns when room is expected: as what is to be read has been read.
+func RetryAfter(board []Candidate, draw func() float64) time.Duration {
+	wait := max(backlog(board), leastRetryAfter)
+	wait += time.Duration(retrySpread * draw() * float64(wait))
+	return min(wait, mostRetryAfter)
 }
 
 // PlaceCall chooses the endpoint for a call of a service that is no model
--- a/lavrelay/call.go
+++ b/lavrelay/call.go
@@ -33,15 +33,10 @@
 	Version lavconfig.Version
 }
 
-// abandonFloor, abandonObjectives and abandonPauses say after which silence
-// callers leave a stream: the longest of the three.
+// patiencePart is the part of the silence after which callers leave a stream
+// after which it is taken to another endpoint, and checkPart that after which
+// the endpoint is looked at.
 const (
-	abandonFloor      = 2 * time.Second
-	abandonObjectives = 4
-	abandonPauses     = 8
-	// patiencePart is the part of that silence after which a stream is taken
-	// to another endpoint, and checkPart that after which the endpoint is
-	// looked at.
 	patiencePart = 0.85
 	checkPart    = 0.4
 )
@@ -52,13 +47,8 @@
 	if c.Route.Kind != lavconfig.KindStreaming || !c.Route.Repeatable() {
 		return 0, 0
 	}
-	longest := c.abandoned().Seconds()
+	longest := c.Prompt.Abandoned().Seconds()
 	return seconds(longest * patiencePart), seconds(longest * checkPart)
 }
 
-// abandoned returns the silence after which the caller leaves.
-func (c *Call) abandoned() time.Duration {
-	return max(abandonFloor, abandonObjectives*c.Route.Objective, abandonPauses*c.Route.PauseObjective)
-}
-
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- a/lavrelay/relay.go
+++ b/lavrelay/relay.go
@@ -151,7 +151,7 @@
 func (t *task) choose(ctx context.Context) (*choice, Outcome) {
 	begun := time.Now()
 	until := begun.Add(time.Duration(float64(t.call.Route.Objective) * choosePart))
-	lateUntil := t.call.Arrived.Add(t.call.abandoned() / 2)
+	lateUntil := t.call.Arrived.Add(t.call.Prompt.Abandoned() / 2)
 	for {
 		board, ok := t.relay.fleet.Board(t.call.Service, func(l lavconfig.Life) bool { return t.tried[l] })
 		if !ok {
@@ -166,7 +166,7 @@
 			}
 		}
 		if !ok && !(board.Bound && inTime) {
-			t.retryAfter = lavplan.RetryAfter(board.Service.Engine, board.Candidates)
+			t.retryAfter = lavplan.RetryAfter(board.Candidates, t.relay.draw)
 			return nil, OutcomeFull
 		}
 		select {
@@ -195,7 +195,7 @@
 		return lavplan.PlaceCall(b.Candidates, t.relay.draw)
 	}
 	plan, ok := lavplan.Place(b.Service.Engine, t.call.Prompt, b.Candidates, t.relay.draw)
-	return plan, ok && (t.arrivals > 0 || lavplan.Admit(t.call.Prompt, plan))
+	return plan, ok && (t.arrivals > 0 || lavplan.Admit(t.call.Prompt, plan, b.Candidates))
 }
 
 // begin counts the run at the endpoints of a plan. It returns nil if the first
