Ask endpoints for their pace when a first event is overdue

Cause: of three slow endpoints none had streams to measure its pace by, and each long prompt that one of them helped with took five times as long.

--- a/lavfleet/fleet.go
+++ b/lavfleet/fleet.go
@@ -60,6 +60,8 @@
 	sent    window
 	doubt   doubt
 	pace    pace
+	// asked is when the endpoint was last asked for its pace.
+	asked time.Time
 	// peerPace is the slowest pace that a peer tells of.
 	peerPace float64
 }
--- a/lavfleet/pace.go
+++ b/lavfleet/pace.go
@@ -3,12 +3,13 @@
 import (
 	"time"
 
+	"lavenderrack.example/lavenderrack/lavconfig"
 	"lavenderrack.example/lavenderrack/lavplan"
 )
 
 const (
 	// paceTime is how long a measured pace holds.
-	paceTime = 2 * time.Second
+	paceTime = 3 * time.Second
 	// paceGaps is how many gaps in a row must be long before an endpoint counts
 	// as slow: what is read in a pass makes single ones long.
 	paceGaps = 4
@@ -45,6 +46,32 @@
 	p.count = 0
 }
 
+// askTime is the least time between two questions for an endpoint's pace.
+const askTime = 1500 * time.Millisecond
+
+// AskPace reports whether an endpoint should be asked for its pace now, and
+// counts it as asked.
+func (f *Fleet) AskPace(life lavconfig.Life) bool {
+	now := time.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s := f.endpoints[life]
+	if s == nil || now.Sub(s.asked) < askTime {
+		return false
+	}
+	s.asked = now
+	return true
+}
+
+// TellPace takes the pace that an endpoint tells of itself.
+func (f *Fleet) TellPace(life lavconfig.Life, factor float64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if s := f.endpoints[life]; s != nil && factor > 0 {
+		s.pace.factor, s.pace.at = factor, time.Now()
+	}
+}
+
 // now returns the pace, 1 for an endpoint that is as quick as usual or of which
 // nothing was seen lately.
 func (p *pace) now(now time.Time) float64 {
--- a/lavrelay/attempt.go
+++ b/lavrelay/attempt.go
@@ -27,6 +27,8 @@
 		return again
 	}
 	defer hold.release()
+	t.stopPace = t.watchPace(ctx, c)
+	defer t.stopPace()
 	answer, err := t.relay.pool.Do(ctx, c.endpoint.Address, t.request(c, hold), t.mine)
 	if err != nil {
 		verdict = t.failed(ctx, c, err)
--- a/lavrelay/relay.go
+++ b/lavrelay/relay.go
@@ -85,7 +85,9 @@
 	events events
 	// retryAfter is when a refused caller should come back.
 	retryAfter time.Duration
-	trace      trace
+	// stopPace ends the watch for an overdue first event.
+	stopPace func() bool
+	trace    trace
 }
 
 // run makes attempts until one ends the call.
--- a/lavrelay/stream.go
+++ b/lavrelay/stream.go
@@ -42,6 +42,7 @@
 					c.run.Event(now.Sub(before))
 				} else {
 					started = true
+					t.stopPace()
 					c.run.Started()
 				}
 				before = now
