--- a/lavhost/control.go
+++ b/lavhost/control.go
@@ -150,6 +150,10 @@
 	return c.backAt.IsZero() || now.Sub(c.backAt) > returnTime
 }
 
+// sure reports whether this host hears the store and knows it to be settled,
+// whatever a peer that is just back may think.
+func (c *control) sure() bool { return c.fresh() && c.settled() }
+
 // fresh reports whether the store answered lately.
 func (c *control) fresh() bool {
 	c.mu.Lock()
--- a/lavhost/peers.go
+++ b/lavhost/peers.go
@@ -292,7 +292,7 @@
 	if err := lavmesh.Decode(body, &n); err != nil {
 		return nil, err
 	}
-	p.knowledge.apply(n.Entries, n.Settled)
+	p.knowledge.apply(n.Entries, n.Settled || p.control.sure())
 	return nil, nil
 }
 
@@ -327,7 +327,7 @@
 		p.logger.Warn().Err(err).Str("Peer", from).Msg("entries not had")
 		return
 	}
-	p.knowledge.apply(got.Entries, got.Settled)
+	p.knowledge.apply(got.Entries, got.Settled || p.control.sure())
 	p.mu.Lock()
 	if known := p.all[from]; known != nil {
 		known.differs = time.Time{}
