Tell of each placing within 25 ms, believe endpoints on their pace, count usual answers

Cause: hosts that saw the same board placed eight streams at one endpoint within 100 ms; gaps that reading had made long passed for a slow endpoint.

--- a/lavfleet/fleet.go
+++ b/lavfleet/fleet.go
@@ -60,18 +60,14 @@
 	sent    window
 	doubt   doubt
 	pace    pace
-	// asked is when the endpoint was last asked for its pace.
-	asked time.Time
-	// peerPace is the slowest pace that a peer tells of.
-	peerPace float64
 }
 
 // Report is what a host tells its peers of the endpoints.
 type Report struct {
-	// Loads is what the host has running, and Slow the pace of the endpoints
-	// that it has seen to be slow.
+	// Loads is what the host has running.
 	Loads map[lavconfig.Life]lavplan.Load
-	Slow  map[lavconfig.Life]float64
+	// Paces is what endpoints have told the host lately.
+	Paces map[lavconfig.Life]float64
 }
 
 type peerReport struct {
@@ -162,7 +158,13 @@
 func (f *Fleet) Hear(peer string, r Report) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.peers[peer] = peerReport{at: time.Now(), Report: r}
+	now := time.Now()
+	f.peers[peer] = peerReport{at: now, Report: r}
+	for life, factor := range r.Paces {
+		if s := f.endpoints[life]; s != nil {
+			s.pace.tell(factor, now)
+		}
+	}
 	f.sumPeers()
 }
 
@@ -170,7 +172,7 @@
 func (f *Fleet) sumPeers() {
 	now := time.Now()
 	for _, s := range f.endpoints {
-		s.peers, s.peerPace, s.peersAt = lavplan.Load{}, 1, now
+		s.peers, s.peersAt = lavplan.Load{}, now
 	}
 	for peer, told := range f.peers {
 		if now.Sub(told.at) > loadTimeout {
@@ -183,11 +185,6 @@
 				s.peers = s.peers.Plus(load)
 			}
 		}
-		for life, factor := range told.Slow {
-			if s := f.endpoints[life]; s != nil {
-				s.peerPace = max(s.peerPace, factor)
-			}
-		}
 	}
 }
 
@@ -196,15 +193,15 @@
 	now := time.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	r := Report{Loads: make(map[lavconfig.Life]lavplan.Load), Slow: make(map[lavconfig.Life]float64)}
+	r := Report{Loads: make(map[lavconfig.Life]lavplan.Load), Paces: make(map[lavconfig.Life]float64)}
 	for life, s := range f.endpoints {
 		load := s.own
 		load.Reading = s.ownReading(now)
 		if !load.Zero() {
 			r.Loads[life] = load
 		}
-		if p := s.pace.now(now); p > 1 {
-			r.Slow[life] = p
+		if s.pace.own(now) {
+			r.Paces[life] = s.pace.factor
 		}
 	}
 	return r
@@ -273,7 +270,7 @@
 		b.Candidates = append(b.Candidates, lavplan.Candidate{
 			Load:     load,
 			Slots:    s.Slots,
-			Pace:     max(s.pace.now(now), s.peerPace),
+			Pace:     s.pace.now(now),
 			Doubtful: s.doubt.holds(now),
 		})
 	}
--- a/lavfleet/pace.go
+++ b/lavfleet/pace.go
@@ -8,46 +8,53 @@
 )
 
 const (
-	// paceTime is how long a measured pace holds.
+	// paceTime is how long what an endpoint told of its pace holds.
 	paceTime = 3 * time.Second
-	// paceGaps is how many gaps in a row must be long before an endpoint counts
-	// as slow: what is read in a pass makes single ones long.
-	paceGaps = 4
-	// paceNoise is the pace up to which an endpoint counts as usual.
-	paceNoise = 1.4
+	// askTime is the least time between two questions for an endpoint's pace,
+	// by whichever host.
+	askTime = 2500 * time.Millisecond
+	// slowGaps is how many gaps in a row must be slowFactor times longer than
+	// usual before an endpoint is asked: what it reads makes single ones long.
+	slowGaps   = 4
+	slowFactor = 2.5
 )
 
-// pace is how much longer than usual an endpoint's passes take.
+// pace is how many times longer than usual an endpoint's work takes, as it told
+// this host or a peer.
 type pace struct {
-	// least is the shortest of the gaps seen since begun, in parts of what was
-	// to be expected, and count their number.
-	least float64
-	count int
-	// factor is the newest result, of that time.
 	factor float64
 	at     time.Time
+	// asked is when a host last asked.
+	asked time.Time
+	// mine is when the endpoint last told this host.
+	mine time.Time
+	// slow counts the long gaps in a row.
+	slow int
 }
 
-// observe takes a gap between two events of a stream, and what it would be at
-// usual pace.
-func (p *pace) observe(now time.Time, gap, usual time.Duration) {
-	if usual <= 0 {
-		return
-	}
-	share := float64(gap) / float64(usual)
-	if p.count == 0 || share < p.least {
-		p.least = share
+// tellTime is how long a host tells its peers what an endpoint has told it.
+const tellTime = 500 * time.Millisecond
+
+// own reports whether the endpoint has told this host lately.
+func (p *pace) own(now time.Time) bool { return !p.mine.IsZero() && now.Sub(p.mine) < tellTime }
+
+// tell takes what the endpoint says, if it is newer.
+func (p *pace) tell(factor float64, at time.Time) {
+	if factor > 0 && at.After(p.at) {
+		p.factor, p.at = factor, at
 	}
-	p.count++
-	if p.count < paceGaps {
-		return
+	if at.After(p.asked) {
+		p.asked = at
 	}
-	p.factor, p.at = p.least, now
-	p.count = 0
 }
 
-// askTime is the least time between two questions for an endpoint's pace.
-const askTime = 1500 * time.Millisecond
+// now returns the pace, 1 for an endpoint of which nothing was told lately.
+func (p *pace) now(now time.Time) float64 {
+	if now.Sub(p.at) > paceTime {
+		return 1
+	}
+	return max(p.factor, 1)
+}
 
 // AskPace reports whether an endpoint should be asked for its pace now, and
 // counts it as asked.
@@ -56,10 +63,10 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	s := f.endpoints[life]
-	if s == nil || now.Sub(s.asked) < askTime {
+	if s == nil || now.Sub(s.pace.asked) < askTime {
 		return false
 	}
-	s.asked = now
+	s.pace.asked = now
 	return true
 }
 
@@ -67,32 +74,31 @@
 func (f *Fleet) TellPace(life lavconfig.Life, factor float64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if s := f.endpoints[life]; s != nil && factor > 0 {
-		s.pace.factor, s.pace.at = factor, time.Now()
+	if s := f.endpoints[life]; s != nil {
+		now := time.Now()
+		s.pace.tell(factor, now)
+		s.pace.mine = now
 	}
 }
 
-// now returns the pace, 1 for an endpoint that is as quick as usual or of which
-// nothing was seen lately.
-func (p *pace) now(now time.Time) float64 {
-	if p.factor < paceNoise || now.Sub(p.at) > paceTime {
-		return 1
-	}
-	return p.factor
-}
-
-// Event takes the gap between two events of the run's stream.
-func (r *Run) Event(gap time.Duration) {
-	now := time.Now()
+// Event takes the gap between two events of the run's stream and reports whether
+// the endpoint seems to be slow.
+func (r *Run) Event(gap time.Duration) bool {
 	r.fleet.mu.Lock()
 	defer r.fleet.mu.Unlock()
 	s := r.fleet.endpoints[r.parts[0].Life]
 	if s == nil {
-		return
+		return false
 	}
 	svc := r.fleet.services[s.Service]
 	if svc == nil || svc.Engine == nil {
-		return
+		return false
+	}
+	usual := lavplan.PassTime(svc.Engine, s.own.Plus(s.peers))
+	if float64(gap) < slowFactor*float64(usual) {
+		s.pace.slow = 0
+		return false
 	}
-	s.pace.observe(now, gap, lavplan.PassTime(svc.Engine, s.own.Plus(s.peers)))
+	s.pace.slow++
+	return s.pace.slow >= slowGaps
 }
--- a/lavfleet/run.go
+++ b/lavfleet/run.go
@@ -56,11 +56,10 @@
 	r.readings = append(r.readings, reads)
 }
 
-// longReading is the reading on all endpoints of which peers hear at once.
-const longReading = 150 * time.Millisecond
-
+// changed tells peers of the run, unless the service is no model engine: its
+// calls are short and even.
 func (r *Run) changed() {
-	if time.Duration(len(r.parts))*r.parts[0].Load.Reading > longReading {
+	if r.parts[0].Load.Memory > 0 {
 		r.fleet.change()
 	}
 }
--- a/lavhost/peers.go
+++ b/lavhost/peers.go
@@ -21,6 +21,10 @@
 // Times of the peers.
 const (
 	beatTime = 100 * time.Millisecond
+	// leastGather is the least time between two beats of a fleet of up to
+	// twice gatherHosts.
+	leastGather = 25 * time.Millisecond
+	gatherHosts = 8
 	// aliveTime is how long a peer counts as alive without a beat.
 	aliveTime = 2 * time.Second
 	// newTime is how long a member of whom no beat was heard yet is believed
@@ -50,6 +54,8 @@
 	Digest uint64     `cbor:"2,keyasint"`
 	Good   bool       `cbor:"3,keyasint"`
 	Loads  []lifeLoad `cbor:"4,keyasint,omitempty"`
+	// Paces is what endpoints have told the host lately.
+	Paces []lifePace `cbor:"6,keyasint,omitempty"`
 	// Fresh says that the host hears the store.
 	Fresh bool `cbor:"5,keyasint,omitempty"`
 }
@@ -57,8 +63,11 @@
 type lifeLoad struct {
 	Life lavconfig.Life `cbor:"1,keyasint"`
 	Load lavplan.Load   `cbor:"2,keyasint"`
-	// Pace is 0 for an endpoint that is as quick as usual.
-	Pace float64 `cbor:"3,keyasint,omitempty"`
+}
+
+type lifePace struct {
+	Life lavconfig.Life `cbor:"1,keyasint"`
+	Pace float64        `cbor:"2,keyasint"`
 }
 
 // news are entries that have changed.
@@ -211,15 +220,20 @@
 func (p *peers) Serve(ctx context.Context) error {
 	tick := time.NewTicker(beatTime)
 	defer tick.Stop()
+	var sent time.Time
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-p.fleet.Changed():
+			// What changes within a short time is told together.
+			sleep(ctx, p.gatherTime()-time.Since(sent))
 			p.sendBeat()
+			sent = time.Now()
 			continue
 		case <-tick.C:
 		}
+		sent = time.Now()
 		p.listed()
 		p.knowledge.tick(p.control.away())
 		p.sendBeat()
@@ -240,12 +254,21 @@
 	p.rebuild()
 }
 
+// gatherTime is the least time between two beats. It grows with the fleet, so
+// that what a host hears in a second doesn't.
+func (p *peers) gatherTime() time.Duration {
+	return leastGather * time.Duration(max(len(p.View().Members)/gatherHosts, 1))
+}
+
 func (p *peers) sendBeat() {
 	_, good := p.belief.check()
 	b := beat{Member: p.Self(), Digest: p.knowledge.Digest(), Good: good, Fresh: p.control.fresh()}
 	own := p.fleet.Own()
 	for life, load := range own.Loads {
-		b.Loads = append(b.Loads, lifeLoad{Life: life, Load: load, Pace: own.Slow[life]})
+		b.Loads = append(b.Loads, lifeLoad{Life: life, Load: load})
+	}
+	for life, pace := range own.Paces {
+		b.Paces = append(b.Paces, lifePace{Life: life, Pace: pace})
 	}
 	if _, err := p.mesh.Spread(lavmesh.TopicBeat, b); err != nil {
 		p.logger.Warn().Err(err).Msg("beat not sent")
@@ -260,13 +283,13 @@
 	}
 	report := lavfleet.Report{
 		Loads: make(map[lavconfig.Life]lavplan.Load, len(b.Loads)),
-		Slow:  make(map[lavconfig.Life]float64),
+		Paces: make(map[lavconfig.Life]float64, len(b.Paces)),
 	}
 	for _, l := range b.Loads {
 		report.Loads[l.Life] = l.Load
-		if l.Pace > 1 {
-			report.Slow[l.Life] = l.Pace
-		}
+	}
+	for _, l := range b.Paces {
+		report.Paces[l.Life] = l.Pace
 	}
 	p.fleet.Hear(b.Member.Incarnation, report)
 	digest := p.knowledge.Digest()
--- a/lavplan/prompt.go
+++ b/lavplan/prompt.go
@@ -1,6 +1,10 @@
 package lavplan
 
-import "time"
+import (
+	"time"
+
+	"lavenderrack.example/lavenderrack/lavconfig"
+)
 
 // Prompt is a request to a model engine.
 type Prompt struct {
@@ -28,6 +32,15 @@
 	return max(abandonFloor, abandonObjectives*p.Objective, abandonPauses*p.Pause)
 }
 
+// Memory returns the tokens that the prompt and its answer are expected to take.
+// Most answers stay far below the longest that is allowed.
+func (p Prompt) Memory(e *lavconfig.Engine) int {
+	if e.UsualAnswer <= 0 {
+		return p.Tokens + p.Answer
+	}
+	return p.Tokens + min(p.Answer, int(e.UsualAnswer))
+}
+
 // Streams fall into classes by the pauses that they bear. One pass that is
 // longer makes the answer late.
 const (
--- a/lavrelay/check.go
+++ b/lavrelay/check.go
@@ -31,15 +31,19 @@
 	due := time.Duration(overdueFactor*float64(c.plan.Expected)) + overdueSlack
 	timer := time.AfterFunc(due, func() {
 		for _, e := range append([]lavconfig.Endpoint{c.endpoint}, c.helpers...) {
-			if ctx.Err() != nil || !t.relay.fleet.AskPace(e.Life()) {
-				continue
-			}
-			go t.relay.askPace(ctx, e)
+			t.askPace(ctx, e)
 		}
 	})
 	return timer.Stop
 }
 
+// askPace asks an endpoint for its pace unless a host has just done so.
+func (t *task) askPace(ctx context.Context, e lavconfig.Endpoint) {
+	if ctx.Err() == nil && t.relay.fleet.AskPace(e.Life()) {
+		go t.relay.askPace(ctx, e)
+	}
+}
+
 // askPace asks one endpoint for its pace and keeps the answer.
 func (r *Relay) askPace(ctx context.Context, e lavconfig.Endpoint) {
 	report, err := r.report(ctx, e)
--- a/lavrelay/relay.go
+++ b/lavrelay/relay.go
@@ -134,7 +134,9 @@
 	endpoint lavconfig.Endpoint
 	helpers  []lavconfig.Endpoint
 	plan     lavplan.Plan
-	run      *lavfleet.Run
+	// engine is nil if the service is no model engine.
+	engine *lavconfig.Engine
+	run    *lavfleet.Run
 }
 
 // Times of waiting for an endpoint that may take a request.
@@ -203,7 +205,7 @@
 // begin counts the run at the endpoints of a plan. It returns nil if the first
 // one may not take the request any more.
 func (t *task) begin(b lavfleet.Board, plan lavplan.Plan) *choice {
-	c := &choice{endpoint: b.Endpoints[plan.First], plan: plan}
+	c := &choice{endpoint: b.Endpoints[plan.First], plan: plan, engine: b.Service.Engine}
 	for _, h := range plan.Helpers {
 		c.helpers = append(c.helpers, b.Endpoints[h])
 	}
@@ -217,7 +219,10 @@
 // parts returns what a choice puts on each of its endpoints.
 func (t *task) parts(c *choice) []lavfleet.Part {
 	p := t.call.Prompt
-	memory := p.Tokens + p.Answer
+	memory := 0
+	if e := c.engine; e != nil {
+		memory = p.Memory(e)
+	}
 	parts := make([]lavfleet.Part, 1, 1+len(c.helpers))
 	for i, h := range c.helpers {
 		part := lavfleet.Part{Life: h.Life(), Load: lavplan.Load{Reading: c.plan.Reading}}
--- a/lavrelay/stream.go
+++ b/lavrelay/stream.go
@@ -39,7 +39,9 @@
 			if len(whole) > 0 {
 				now := time.Now()
 				if started {
-					c.run.Event(now.Sub(before))
+					if c.run.Event(now.Sub(before)) {
+						t.askPace(ctx, c.endpoint)
+					}
 				} else {
 					started = true
 					t.stopPace()
