--- a/lavplan/refuse.go
+++ b/lavplan/refuse.go
@@ -2,9 +2,9 @@
 
 import "time"
 
-// admitMargin is how much earlier than its objective a first event must be
+// admitPart is the part of its objective within which a first event must be
 // expected, since what is known of the others' work lags.
-const admitMargin = 20 * time.Millisecond
+const admitPart = 0.65
 
 // returnedLimit is the part of the time after which callers leave within which
 // a first event must be expected for one who has come back.
@@ -16,7 +16,7 @@
 // prompts while the fleet has room.
 func Admit(p Prompt, plan Plan, board []Candidate) bool {
 	switch {
-	case plan.Expected <= p.Objective-admitMargin:
+	case plan.Expected <= time.Duration(admitPart*float64(p.Objective)):
 		return true
 	case p.Returned:
 		return plan.Expected < time.Duration(returnedLimit*float64(p.Abandoned()))
