Take half-long prompts for bulk too, on a third of the endpoints

Cause: a short review is worth up to ten times more a second of reading than a long one, and waited behind it on every endpoint.

--- a/lavplan/place.go
+++ b/lavplan/place.go
@@ -104,10 +104,10 @@
 const (
 	// bulkTime is the time of reading on all endpoints from which a prompt is
 	// bulk: others would wait too long for the endpoints that it takes.
-	bulkTime = 800 * time.Millisecond
+	bulkTime = 330 * time.Millisecond
 	// bulkShare is the share of the endpoints that such a prompt takes, unless
 	// it would then take longer than bulkLimit.
-	bulkShare = 0.25
+	bulkShare = 0.35
 	bulkLimit = 8500 * time.Millisecond
 )
 
