--- a/lavplan/place.go
+++ b/lavplan/place.go
@@ -107,7 +107,7 @@
 	bulkTime = 330 * time.Millisecond
 	// bulkShare is the share of the endpoints that such a prompt takes, unless
 	// it would then take longer than bulkLimit.
-	bulkShare = 0.35
+	bulkShare = 0.25
 	bulkLimit = 8500 * time.Millisecond
 )
 
--- /dev/null
+++ b/lavplan/place_test.go
@@ -0,0 +1,229 @@
+package lavplan
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"lavenderrack.example/lavenderrack/lavassert"
+	"lavenderrack.example/lavenderrack/lavconfig"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+)
+
+const (
+	playEngines = 16
+	playLength  = 10 * time.Second
+	playSeeds   = 5
+)
+
+// oneEach reads each prompt at the endpoint with least work.
+func oneEach(e *lavconfig.Engine, p Prompt, board []Candidate, _ func() float64) (Plan, bool) {
+	best := 0
+	for i, c := range board {
+		if c.Reading+PassTime(e, c.Load) < board[best].Reading+PassTime(e, board[best].Load) {
+			best = i
+		}
+	}
+	return Plan{First: best, Reading: ReadTime(e, p.Tokens, 1)}, true
+}
+
+// thinParts reads long prompts in parts of 6,000 tokens where least is to be
+// read.
+func thinParts(e *lavconfig.Engine, p Prompt, board []Candidate, draw func() float64) (Plan, bool) {
+	plan, ok := oneEach(e, p, board, draw)
+	parts := min(p.Tokens/6000+1, len(board))
+	plan.Reading = ReadTime(e, p.Tokens, parts)
+	for i := 1; i < parts; i++ {
+		plan.Helpers = append(plan.Helpers, (plan.First+i)%len(board))
+	}
+	return plan, ok
+}
+
+// mean plays a load with several seeds and returns the mean of a figure.
+func mean(place placer, figure func([]*stream) float64, kinds ...kind) float64 {
+	sum := 0.0
+	for seed := range uint64(playSeeds) {
+		sum += figure(play(seed, playEngines, playLength, place, kinds...))
+	}
+	return sum / playSeeds
+}
+
+// The users' days alternate between a flood of captions and one of reviews.
+var (
+	captionFlood = []kind{captions.times(2.5), packs.times(0.5), reviews.times(0.05)}
+	reviewFlood  = []kind{captions.times(0.3), packs.times(1.3), reviews.times(2.7)}
+)
+
+func TestPlaceBeatsBaselines(t *testing.T) {
+	loads := []struct {
+		name  string
+		kinds []kind
+	}{
+		{"CaptionFlood", captionFlood},
+		{"ReviewFlood", reviewFlood},
+	}
+	for _, l := range loads {
+		t.Run(l.name, func(t *testing.T) {
+			own := mean(Place, worth, l.kinds...)
+			one := mean(oneEach, worth, l.kinds...)
+			thin := mean(thinParts, worth, l.kinds...)
+			t.Logf("worth: own %.3f, one each %.3f, thin parts %.3f", own, one, thin)
+			lavassert.AtLeast(t, "worth against one each", own, one)
+			lavassert.AtLeast(t, "worth against thin parts", own, thin)
+		})
+	}
+}
+
+// TestNoKindStarves keeps to the users' gate: no kind is served less than a
+// quarter as often as all.
+func TestNoKindStarves(t *testing.T) {
+	served := func(s *stream) bool { return s.done }
+	for _, kinds := range [][]kind{captionFlood, reviewFlood} {
+		for _, k := range kinds {
+			got := mean(Place, func(s []*stream) float64 { return share(s, k.name, served) }, kinds...)
+			lavassert.AtLeast(t, "share of "+k.name+" served", got, 0.5)
+		}
+	}
+}
+
+// TestCalmLoad has room for everybody.
+func TestCalmLoad(t *testing.T) {
+	calm := []kind{captions.times(0.5), packs.times(0.5), reviews.times(0.3)}
+	refused := func(s *stream) bool { return s.refused }
+	for _, k := range calm {
+		got := mean(Place, func(s []*stream) float64 { return share(s, k.name, refused) }, calm...)
+		lavassert.AtMost(t, "share of "+k.name+" refused", got, 0.01)
+		inTime := mean(Place, func(s []*stream) float64 { return share(s, k.name, (*stream).inTime) }, calm...)
+		lavassert.AtLeast(t, "share of "+k.name+" in time", inTime, 0.85)
+	}
+}
+
+func idle(n int) []Candidate {
+	board := make([]Candidate, n)
+	for i := range board {
+		board[i] = Candidate{Slots: 16, Pace: 1}
+	}
+	return board
+}
+
+func half() float64 { return 0.5 }
+
+func caption() Prompt {
+	return Prompt{Tokens: 5000, Answer: 4000, Objective: 300 * time.Millisecond, Pause: 200 * time.Millisecond}
+}
+
+func review(tokens int) Prompt {
+	return Prompt{Tokens: tokens, Answer: 4000, Objective: 3 * time.Second, Pause: 800 * time.Millisecond}
+}
+
+func TestPlaceAvoids(t *testing.T) {
+	t.Run("Doubtful", func(t *testing.T) {
+		board := idle(3)
+		board[0].Doubtful, board[2].Doubtful = true, true
+		plan, ok := Place(testEngine, caption(), board, half)
+		lavassert.True(t, "placed", ok)
+		lavassert.Equal(t, "the sound one", plan.First, 1)
+	})
+	t.Run("AllDoubtful", func(t *testing.T) {
+		board := idle(1)
+		board[0].Doubtful = true
+		_, ok := Place(testEngine, caption(), board, half)
+		lavassert.True(t, "placed all the same", ok)
+	})
+	t.Run("ShortStreams", func(t *testing.T) {
+		board := idle(4)
+		board[1].Load = Load{Requests: 8, Strict: 8}
+		plan, _ := Place(testEngine, review(200_000), board, half)
+		for _, i := range append([]int{plan.First}, plan.Helpers...) {
+			lavassert.True(t, "no part beside short streams", i != 1)
+		}
+	})
+	t.Run("SlowHelpers", func(t *testing.T) {
+		board := idle(8)
+		board[3].Pace = 5
+		plan, _ := Place(testEngine, review(300_000), board, half)
+		for _, i := range append([]int{plan.First}, plan.Helpers...) {
+			lavassert.True(t, "no part at a slow endpoint", i != 3)
+		}
+	})
+	t.Run("NoBoard", func(t *testing.T) {
+		_, ok := Place(testEngine, caption(), nil, half)
+		lavassert.True(t, "not placed", !ok)
+	})
+}
+
+func TestPlaceGathers(t *testing.T) {
+	board := idle(4)
+	board[2].Load = Load{Requests: 3, Strict: 3}
+	plan, _ := Place(testEngine, caption(), board, half)
+	lavassert.Equal(t, "beside other short streams", plan.First, 2)
+}
+
+// TestMemory checks that plans for any prompt and board keep to the memory.
+func TestMemory(t *testing.T) {
+	properties := gopter.NewProperties(nil)
+	properties.Property("a plan fits", prop.ForAll(func(tokens int, seed uint64) bool {
+		draw := rand.New(rand.NewPCG(seed, 3))
+		board := idle(6)
+		for i := range board {
+			board[i].Memory = draw.IntN(testEngine.MemoryTokens)
+			board[i].Requests = draw.IntN(20)
+			board[i].Strict = draw.IntN(board[i].Requests + 1)
+			board[i].Reading = time.Duration(draw.IntN(int(time.Second)))
+		}
+		p := review(tokens)
+		plan, ok := Place(testEngine, p, board, draw.Float64)
+		if !ok {
+			return true
+		}
+		rest := p.Memory(testEngine)
+		for i, tokens := range plan.Reserve {
+			if board[plan.Helpers[i]].Memory+tokens > testEngine.MemoryTokens {
+				return false
+			}
+			rest -= tokens
+		}
+		return board[plan.First].Memory+rest <= testEngine.MemoryTokens && len(plan.Helpers) < maxParts
+	}, gen.IntRange(1, 1_000_000), gen.UInt64()))
+	properties.TestingRun(t)
+}
+
+func TestPromptsBeyondOneEngine(t *testing.T) {
+	plan, ok := Place(testEngine, review(1_000_000), idle(16), half)
+	lavassert.True(t, "placed", ok)
+	lavassert.AtLeast(t, "helpers that hold memory", len(plan.Reserve), 2)
+	_, ok = Place(testEngine, review(1_000_000), idle(2), half)
+	lavassert.True(t, "not placed on two", !ok)
+}
+
+func TestAdmit(t *testing.T) {
+	busy := idle(4)
+	for i := range busy {
+		busy[i].Reading = time.Second
+	}
+	late := Plan{Expected: 5 * time.Second}
+	lavassert.True(t, "in time", Admit(caption(), Plan{Expected: 100 * time.Millisecond}, busy))
+	lavassert.True(t, "a late short one", !Admit(caption(), Plan{Expected: 400 * time.Millisecond}, idle(4)))
+	lavassert.True(t, "a late long one while there is room", Admit(review(1_000_000), late, idle(4)))
+	lavassert.True(t, "a late long one while there is none", !Admit(review(1_000_000), late, busy))
+	back := review(1_000_000)
+	back.Returned = true
+	lavassert.True(t, "one who came back", Admit(back, late, busy))
+	wait := RetryAfter(busy, half)
+	lavassert.AtLeast(t, "time to come back", wait, time.Second)
+	lavassert.AtMost(t, "time to come back", wait, mostRetryAfter)
+}
+
+func TestPlaceCall(t *testing.T) {
+	board := idle(3)
+	board[0].Requests, board[1].Requests = 4, 1
+	board[2].Doubtful = true
+	plan, ok := PlaceCall(board, half)
+	lavassert.True(t, "placed", ok)
+	lavassert.Equal(t, "least work among the sound", plan.First, 1)
+	_, ok = PlaceCall(nil, half)
+	lavassert.True(t, "not placed", !ok)
+}
