--- a/lavrelay/relay_test.go
+++ b/lavrelay/relay_test.go
@@ -213,7 +213,7 @@
 // TestBudget lets every endpoint fail: repeats end with the budget.
 func TestBudget(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		b := newBench(standin.Cut, cut)
+		b := newBench(standin.Cut, standin.Cut)
 		b.fleet.SetHosts(5)
 		const calls = 50
 		for range calls {
