--- a/lavconn/exchange.go
+++ b/lavconn/exchange.go
@@ -206,7 +206,7 @@
 	n, err := a.body.Read(p)
 	a.conn.seen()
 	switch {
-	case err == io.EOF:
+	case errors.Is(err, io.EOF):
 		a.whole = true
 	case err != nil:
 		err = errors.Mark(err, ErrLost)
--- a/lavconn/pool.go
+++ b/lavconn/pool.go
@@ -55,7 +55,7 @@
 
 func (c *conn) close() {
 	// The connection is of no use any more; an error of its end says nothing.
-	c.once.Do(func() { _ = c.Conn.Close() })
+	c.once.Do(func() { _ = c.Close() })
 }
 
 // take returns an idle connection that still stands, or a new one.
--- a/lavfleet/fleet_test.go
+++ b/lavfleet/fleet_test.go
@@ -179,6 +179,6 @@
 	f.Update([]lavconfig.Service{engineService}, []lavconfig.Endpoint{reborn}, nil)
 	run.End(VerdictBad)
 	b, _ := f.Board("m", none)
-	lavassert.True(t, "nothing runs in the new life", b.Candidates[0].Load.Zero())
+	lavassert.True(t, "nothing runs in the new life", b.Candidates[0].Zero())
 	lavassert.True(t, "the new life is not in doubt", !b.Candidates[0].Doubtful)
 }
--- a/lavhost/directory.go
+++ b/lavhost/directory.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
+	"slices"
 	"time"
 
 	"lavenderrack.example/lavenderrack/lavmember"
@@ -45,14 +46,21 @@
 // more, the near ones come first and others are drawn at random.
 func choose(alive []lavmember.Member, domain string) []netip.AddrPort {
 	rand.Shuffle(len(alive), func(i, j int) { alive[i], alive[j] = alive[j], alive[i] })
-	var near, far []netip.AddrPort
+	slices.SortStableFunc(alive, func(a, b lavmember.Member) int {
+		return distance(a, domain) - distance(b, domain)
+	})
+	alive = alive[:min(len(alive), platform.MaxAddresses)]
+	addresses := make([]netip.AddrPort, 0, len(alive))
 	for _, m := range alive {
-		if m.FailureDomain == domain {
-			near = append(near, m.Entry)
-		} else {
-			far = append(far, m.Entry)
-		}
+		addresses = append(addresses, m.Entry)
 	}
-	all := append(near, far...)
-	return all[:min(len(all), platform.MaxAddresses)]
+	return addresses
+}
+
+// distance is 0 for a member in a failure domain and 1 for the others.
+func distance(m lavmember.Member, domain string) int {
+	if m.FailureDomain == domain {
+		return 0
+	}
+	return 1
 }
--- a/lavhost/face.go
+++ b/lavhost/face.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/phuslu/log"
 	"github.com/thejerf/suture/v4"
 )
@@ -41,7 +42,9 @@
 	case <-ctx.Done():
 		// Requests have been drained before the context ends.
 		_ = server.Close()
-		<-ended
+		if err := <-ended; !errors.Is(err, http.ErrServerClosed) {
+			f.logger.Warn().Err(err).Str("Face", f.name).Msg("listener ended")
+		}
 		return ctx.Err()
 	case err := <-ended:
 		f.logger.Error().Err(err).Str("Face", f.name).Msg("listener ended")
--- a/lavhost/host.go
+++ b/lavhost/host.go
@@ -62,6 +62,7 @@
 	mesh      *lavmesh.Mesh
 	pool      *lavconn.Pool
 	fleet     *lavfleet.Fleet
+	suspects  *suspects
 	ingress   *ingress
 	drain     *drain
 }
@@ -115,13 +116,13 @@
 }
 
 func (h *Host) addIngress() {
-	doubted := &suspects{mesh: h.mesh, dial: h.edges.Dial, logger: h.edges.Logger, guard: lavretry.NewGuard()}
-	h.mesh.Handle(lavmesh.TopicQuarantine, doubted.hear)
+	h.suspects = &suspects{mesh: h.mesh, dial: h.edges.Dial, logger: h.edges.Logger, guard: lavretry.NewGuard()}
+	h.mesh.Handle(lavmesh.TopicQuarantine, h.suspects.hear)
 	h.ingress = &ingress{
 		knowledge: h.knowledge,
 		belief:    h.belief,
 		current:   h.current,
-		relay:     lavrelay.New(h.pool, h.fleet, h.belief, doubted, h.edges.Logger, h.edges.Scope, rand.Float64),
+		relay:     lavrelay.New(h.pool, h.fleet, h.belief, h.suspects, h.edges.Logger, h.edges.Scope, rand.Float64),
 		drain:     h.drain,
 		logger:    h.edges.Logger,
 	}
@@ -167,6 +168,8 @@
 	h.drain.begin()
 	h.peers.Leave()
 	h.drain.wait(ctx, h.ingress)
+	h.ingress.relay.Wait()
+	h.suspects.Wait()
 	h.edges.Logger.Info().Int64("Running", h.ingress.running.Load()).Msg("drained")
 }
 
--- a/lavhost/suspects.go
+++ b/lavhost/suspects.go
@@ -23,6 +23,8 @@
 	mesh   *lavmesh.Mesh
 	dial   lavconn.Dialer
 	logger *log.Logger
+	// running counts the looks under way.
+	running sync.WaitGroup
 
 	mu    sync.Mutex
 	guard *lavretry.Guard
@@ -38,17 +40,24 @@
 // Lost implements lavrelay.Suspects. An answer is lost for many reasons; only
 // if nobody listens at the endpoint any more has it died.
 func (s *suspects) Lost(fingerprint uint64, e lavconfig.Endpoint) {
-	go func() {
-		time.Sleep(checkPause)
-		ctx, cancel := context.WithTimeout(context.Background(), lavconn.DialTimeout)
-		defer cancel()
-		c, err := s.dial(ctx, e.Address)
-		if err == nil {
-			_ = c.Close()
-			return
-		}
+	s.running.Go(func() { s.check(fingerprint, e) })
+}
+
+// Wait returns once no look is under way. All are bounded in time.
+func (s *suspects) Wait() { s.running.Wait() }
+
+// check looks whether anybody listens at an endpoint.
+func (s *suspects) check(fingerprint uint64, e lavconfig.Endpoint) {
+	time.Sleep(checkPause)
+	ctx, cancel := context.WithTimeout(context.Background(), lavconn.DialTimeout)
+	defer cancel()
+	c, err := s.dial(ctx, e.Address)
+	if err != nil {
 		s.died(fingerprint, e)
-	}()
+		return
+	}
+	// It was opened to see whether it could be.
+	_ = c.Close()
 }
 
 func (s *suspects) died(fingerprint uint64, e lavconfig.Endpoint) {
--- a/lavrelay/check.go
+++ b/lavrelay/check.go
@@ -40,7 +40,7 @@
 // askPace asks an endpoint for its pace unless a host has just done so.
 func (t *task) askPace(ctx context.Context, e lavconfig.Endpoint) {
 	if ctx.Err() == nil && t.relay.fleet.AskPace(e.Life()) {
-		go t.relay.askPace(ctx, e)
+		t.relay.running.Go(func() { t.relay.askPace(ctx, e) })
 	}
 }
 
--- a/lavrelay/relay.go
+++ b/lavrelay/relay.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"sync"
 	"time"
 
 	"lavenderrack.example/lavenderrack/lavconfig"
@@ -41,8 +42,14 @@
 	logger   *log.Logger
 	draw     func() float64
 	counts   counts
+	// running counts the questions and orders that outlive their request.
+	running sync.WaitGroup
 }
 
+// Wait returns once nothing that outlives its request is under way. All of it
+// is bounded in time.
+func (r *Relay) Wait() { r.running.Wait() }
+
 // New returns a relay over the fleet. Draw returns numbers from 0 up to 1.
 func New(pool *lavconn.Pool, fleet *lavfleet.Fleet, belief Belief, suspects Suspects, logger *log.Logger, scope tally.Scope, draw func() float64) *Relay {
 	return &Relay{
@@ -67,7 +74,7 @@
 	outcome := t.run(ctx)
 	r.counts.end(c, t, outcome)
 	t.log(outcome)
-	t.finish(ctx, outcome)
+	t.finish(outcome)
 }
 
 // task is a call on its way.
@@ -163,13 +170,13 @@
 		}
 		inTime := time.Now().Before(until)
 		plan, ok := t.plan(board)
-		if ok && !(plan.Wait && t.mayWait(plan, lateUntil)) {
+		if ok && (!plan.Wait || !t.mayWait(plan, lateUntil)) {
 			if c := t.begin(board, plan); c != nil {
 				t.trace.held = time.Since(begun)
 				return c, 0
 			}
 		}
-		if !ok && !(board.Bound && inTime) {
+		if !ok && (!board.Bound || !inTime) {
 			t.retryAfter = lavplan.RetryAfter(board.Candidates, t.relay.draw)
 			return nil, OutcomeFull
 		}
@@ -244,14 +251,13 @@
 }
 
 // finish writes the answer of a call that got none from an endpoint.
-func (t *task) finish(ctx context.Context, o Outcome) {
+func (t *task) finish(o Outcome) {
 	if o == OutcomeDone || o == OutcomePassed {
 		return
 	}
 	if t.begun || o == OutcomeLeft {
 		panic(http.ErrAbortHandler)
 	}
-	_ = ctx
 	platform.SetRefusal(t.out.Header(), t.call.ID, t.pauseFor(o))
 	t.out.WriteHeader(t.status(o))
 	_, _ = io.WriteString(t.out, o.String()+"\n")
--- a/lavrelay/relay_test.go
+++ b/lavrelay/relay_test.go
@@ -230,7 +230,7 @@
 		b.serve(context.Background(), b.call(lavconfig.KindStreaming))
 		board, _ := b.fleet.Board("s", func(lavconfig.Life) bool { return false })
 		for _, c := range board.Candidates {
-			lavassert.True(t, "nothing runs", c.Load.Zero())
+			lavassert.True(t, "nothing runs", c.Zero())
 		}
 		b.relay.pool.Sweep(func(netip.AddrPort) bool { return false })
 	})
--- a/lavrelay/reserve.go
+++ b/lavrelay/reserve.go
@@ -148,12 +148,16 @@
 	for _, p := range h.places {
 		body, err := platform.EncodeRelease(p.ticket)
 		if err != nil {
+			h.task.relay.logger.Error().Str("Request", h.task.call.ID).Err(err).Msg("order not encoded")
 			continue
 		}
-		go func() {
-			if _, err := h.order(context.Background(), p.endpoint, body); err != nil {
-				h.task.relay.logger.Warn().Str("Request", h.task.call.ID).Err(err).Msg("reservation not released")
-			}
-		}()
+		h.task.relay.running.Go(func() { h.end(p, body) })
+	}
+}
+
+// end orders one release, also for a request whose caller has left.
+func (h *hold) end(p reservation, body []byte) {
+	if _, err := h.order(context.Background(), p.endpoint, body); err != nil {
+		h.task.relay.logger.Warn().Str("Request", h.task.call.ID).Err(err).Msg("reservation not released")
 	}
 }
--- a/lavrelay/stream.go
+++ b/lavrelay/stream.go
@@ -54,7 +54,7 @@
 			}
 		}
 		switch {
-		case err == io.EOF:
+		case errors.Is(err, io.EOF):
 			return t.endStream(answer)
 		case err != nil:
 			return 0, t.broken(ctx, err)
