--- a/lavfleet/fleet.go
+++ b/lavfleet/fleet.go
@@ -11,8 +11,8 @@
 )
 
 const (
-	// loadTimeout is how long what a peer told of its work holds. A peer that
-	// runs tells it many times in this time.
+	// loadTimeout is how long what is told of the others' work holds. It is
+	// told many times in this time.
 	loadTimeout = 1500 * time.Millisecond
 	// coldWindow is a second and some time for requests to arrive late.
 	coldWindow = 1200 * time.Millisecond
@@ -35,8 +35,10 @@
 	endpoints map[lavconfig.Life]*state
 	services  map[string]*service
 	out       map[string]bool
-	peers     map[string]peerReport
-	hosts     int
+	// others is what the other hosts have running, as of othersAt.
+	others   Report
+	othersAt time.Time
+	hosts    int
 	// changed tells of long readings that began or ended.
 	changed chan struct{}
 }
@@ -70,11 +72,6 @@
 	Paces map[lavconfig.Life]float64
 }
 
-type peerReport struct {
-	Report
-	at time.Time
-}
-
 // New returns a fleet without endpoints.
 func New(bounds Bounds) *Fleet {
 	return &Fleet{
@@ -82,7 +79,6 @@
 		endpoints: make(map[lavconfig.Life]*state),
 		services:  make(map[string]*service),
 		out:       make(map[string]bool),
-		peers:     make(map[string]peerReport),
 		hosts:     1,
 		changed:   make(chan struct{}, 1),
 	}
@@ -125,7 +121,7 @@
 	for _, svc := range f.services {
 		slices.SortFunc(svc.endpoints, func(a, b *state) int { return cmp.Compare(a.ID, b.ID) })
 	}
-	f.sumPeers()
+	f.shareOthers()
 }
 
 func (f *Fleet) updateServices(services []lavconfig.Service) {
@@ -154,37 +150,34 @@
 	f.hosts = max(n, 1)
 }
 
-// Hear takes over what a peer has running.
-func (f *Fleet) Hear(peer string, r Report) {
+// Hear takes over what all other hosts together have running.
+func (f *Fleet) Hear(r Report) {
+	now := time.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	now := time.Now()
-	f.peers[peer] = peerReport{at: now, Report: r}
+	f.others, f.othersAt = r, now
 	for life, factor := range r.Paces {
 		if s := f.endpoints[life]; s != nil {
 			s.pace.tell(factor, now)
 		}
 	}
-	f.sumPeers()
+	f.shareOthers()
 }
 
-// sumPeers adds up what the peers told lately. The caller holds the lock.
-func (f *Fleet) sumPeers() {
-	now := time.Now()
-	for _, s := range f.endpoints {
-		s.peers, s.peersAt = lavplan.Load{}, now
+// shareOthers gives each endpoint its part of what the others have running. The
+// caller holds the lock.
+func (f *Fleet) shareOthers() {
+	for life, s := range f.endpoints {
+		s.peers, s.peersAt = f.others.Loads[life], f.othersAt
 	}
-	for peer, told := range f.peers {
-		if now.Sub(told.at) > loadTimeout {
-			delete(f.peers, peer)
-			continue
-		}
-		for life, load := range told.Loads {
-			if s := f.endpoints[life]; s != nil {
-				load.Reading = max(load.Reading-now.Sub(told.at), 0)
-				s.peers = s.peers.Plus(load)
-			}
-		}
+}
+
+// expire forgets what the others have running once nobody has told of it for
+// too long. The caller holds the lock.
+func (f *Fleet) expire(now time.Time) {
+	if len(f.others.Loads) > 0 && now.Sub(f.othersAt) > loadTimeout {
+		f.others = Report{}
+		f.shareOthers()
 	}
 }
 
@@ -250,6 +243,7 @@
 	now := time.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.expire(now)
 	svc := f.services[name]
 	if svc == nil {
 		return Board{}, false
--- a/lavfleet/fleet_test.go
+++ b/lavfleet/fleet_test.go
@@ -122,7 +122,7 @@
 		f := testFleet(2)
 		life := lavconfig.Life{ID: "e1", Born: 1}
 		run := begin(f, "e1", lavplan.Load{Requests: 1, Reading: 300 * time.Millisecond, Memory: 100})
-		f.Hear("peer", Report{Loads: map[lavconfig.Life]lavplan.Load{life: {Requests: 2, Reading: time.Second}}})
+		f.Hear(Report{Loads: map[lavconfig.Life]lavplan.Load{life: {Requests: 2, Reading: time.Second}}})
 		at := func() lavplan.Load { b, _ := f.Board("m", none); return b.Candidates[0].Load }
 		lavassert.Equal(t, "requests of both", at().Requests, 3)
 		lavassert.Equal(t, "reading of both", at().Reading, 1300*time.Millisecond)
@@ -131,7 +131,6 @@
 		run.Started()
 		lavassert.Equal(t, "own reading is over", at().Reading, 800*time.Millisecond)
 		time.Sleep(2 * time.Second)
-		f.Hear("other", Report{})
 		lavassert.Equal(t, "a silent peer runs nothing", at().Requests, 1)
 		run.End(VerdictGood)
 		lavassert.True(t, "nothing runs", at().Zero())
--- a/lavhost/control.go
+++ b/lavhost/control.go
@@ -18,8 +18,14 @@
 const (
 	// batchTime lets changes gather, since each answer is a priced call.
 	batchTime = 400 * time.Millisecond
+	// checkTime is the time between calls of hosts that hear of changes from
+	// the watchers, and lookTime that between looks whether they still do.
+	checkTime = 6 * time.Second
+	lookTime  = 200 * time.Millisecond
+	// watchers is how many hosts follow the store closely.
+	watchers = 3
 	// watchTime bounds a watch, so that a silent connection is noticed.
-	watchTime = 1200 * time.Millisecond
+	watchTime = 700 * time.Millisecond
 	// callTime bounds a call, and a watch beyond its wait.
 	callTime = 900 * time.Millisecond
 	// retryTime is the pause after a failed call.
@@ -43,6 +49,9 @@
 	logger    *log.Logger
 	// tell spreads news that matter.
 	tell func(news []lavmirror.Entry, settled bool)
+	// told reports whether this host is no watcher and a watcher tells it of
+	// changes.
+	told func() bool
 
 	mu sync.Mutex
 	// heard is when the store last answered, and awaySince when it began to
@@ -61,7 +70,7 @@
 		c.note(err)
 		if err == nil {
 			after = next
-			sleep(ctx, batchTime)
+			c.pause(ctx)
 			continue
 		}
 		if errors.Is(err, platform.ErrHistoryGone) {
@@ -73,6 +82,20 @@
 	return ctx.Err()
 }
 
+// pause waits for the next call. A host that is no watcher waits for as long as
+// it hears of changes from one that is.
+func (c *control) pause(ctx context.Context) {
+	sleep(ctx, batchTime)
+	until := time.Now().Add(checkTime)
+	for ctx.Err() == nil && time.Now().Before(until) {
+		_, good := c.belief.check()
+		if !good || !c.told() {
+			return
+		}
+		sleep(ctx, lookTime)
+	}
+}
+
 // step makes one call and takes over what it tells. A host that doubts what it
 // knows doesn't wait for a change.
 func (c *control) step(ctx context.Context, era uint64, after lavstore.Revision, good bool) (lavstore.Revision, error) {
@@ -158,7 +181,7 @@
 func (c *control) fresh() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return !c.heard.IsZero() && time.Since(c.heard) < watchTime+callTime
+	return c.awaySince.IsZero() && !c.heard.IsZero() && time.Since(c.heard) < watchTime+callTime
 }
 
 func sleep(ctx context.Context, d time.Duration) {
--- a/lavhost/host.go
+++ b/lavhost/host.go
@@ -59,6 +59,7 @@
 	knowledge *knowledge
 	control   *control
 	peers     *peers
+	loads     *loads
 	mesh      *lavmesh.Mesh
 	pool      *lavconn.Pool
 	fleet     *lavfleet.Fleet
@@ -108,8 +109,10 @@
 		belief:    h.belief,
 		logger:    h.edges.Logger,
 		tell:      h.peers.tell,
+		told:      h.peers.told,
 	}
 	h.peers.control = h.control
+	h.loads = newLoads(h.mesh, h.fleet, h.peers, h.edges.Logger)
 	h.mesh.Handle(lavmesh.TopicBeat, h.peers.hearBeat)
 	h.mesh.Handle(lavmesh.TopicNews, h.peers.hearNews)
 	h.mesh.Handle(lavmesh.TopicEntries, h.peers.giveEntries)
@@ -142,6 +145,8 @@
 	}
 	tree.Add(h.control)
 	tree.Add(h.peers)
+	tree.Add(h.loads)
+	tree.Add(keeper{h.loads})
 	tree.Add(h.mesh)
 	tree.Add(&membership{leases: h.edges.Store, peers: h.peers, logger: h.edges.Logger})
 	tree.Add(&reloader{load: h.edges.Reload, hangup: h.edges.Hangup, apply: h.reload, logger: h.edges.Logger})
--- a/lavhost/peers.go
+++ b/lavhost/peers.go
@@ -8,23 +8,22 @@
 	"sync"
 	"time"
 
-	"lavenderrack.example/lavenderrack/lavconfig"
 	"lavenderrack.example/lavenderrack/lavfleet"
 	"lavenderrack.example/lavenderrack/lavmember"
 	"lavenderrack.example/lavenderrack/lavmesh"
 	"lavenderrack.example/lavenderrack/lavmirror"
-	"lavenderrack.example/lavenderrack/lavplan"
 
 	"github.com/phuslu/log"
 )
 
 // Times of the peers.
 const (
-	beatTime = 100 * time.Millisecond
-	// leastGather is the least time between two beats of a fleet of up to
-	// twice gatherHosts.
-	leastGather = 25 * time.Millisecond
-	gatherHosts = 8
+	// beatTime is the time between two beats of a fleet of up to beatHosts. It
+	// grows with the fleet, so that what a host hears in a second doesn't.
+	beatTime  = 100 * time.Millisecond
+	beatHosts = 8
+	// mostBeat keeps several beats within aliveTime.
+	mostBeat = 600 * time.Millisecond
 	// aliveTime is how long a peer counts as alive without a beat.
 	aliveTime = 2 * time.Second
 	// newTime is how long a member of whom no beat was heard yet is believed
@@ -51,23 +50,10 @@
 type beat struct {
 	Member lavmember.Member `cbor:"1,keyasint"`
 	// Digest names what the host knows, and Good says that it may act on it.
-	Digest uint64     `cbor:"2,keyasint"`
-	Good   bool       `cbor:"3,keyasint"`
-	Loads  []lifeLoad `cbor:"4,keyasint,omitempty"`
-	// Paces is what endpoints have told the host lately.
-	Paces []lifePace `cbor:"6,keyasint,omitempty"`
+	Digest uint64 `cbor:"2,keyasint"`
+	Good   bool   `cbor:"3,keyasint"`
 	// Fresh says that the host hears the store.
-	Fresh bool `cbor:"5,keyasint,omitempty"`
-}
-
-type lifeLoad struct {
-	Life lavconfig.Life `cbor:"1,keyasint"`
-	Load lavplan.Load   `cbor:"2,keyasint"`
-}
-
-type lifePace struct {
-	Life lavconfig.Life `cbor:"1,keyasint"`
-	Pace float64        `cbor:"2,keyasint"`
+	Fresh bool `cbor:"4,keyasint,omitempty"`
 }
 
 // news are entries that have changed.
@@ -203,6 +189,18 @@
 	p.seeds = seeds
 }
 
+// watcherName is what the hosts that follow the store closely are ranked for.
+const watcherName = "watcher of the store"
+
+// told reports whether this host is no watcher of the store and hears of changes
+// from one.
+func (p *peers) told() bool {
+	if lavmember.Rank(p.View(), watcherName, p.Self().Incarnation) < watchers {
+		return false
+	}
+	return p.informed()
+}
+
 // Leave tells the others that this host drains.
 func (p *peers) Leave() {
 	p.mu.Lock()
@@ -218,27 +216,20 @@
 // Serve implements suture.Service: it tells the peers of this host and looks
 // after what the store says of them.
 func (p *peers) Serve(ctx context.Context) error {
-	tick := time.NewTicker(beatTime)
-	defer tick.Stop()
-	var sent time.Time
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-p.fleet.Changed():
-			// What changes within a short time is told together.
-			sleep(ctx, p.gatherTime()-time.Since(sent))
-			p.sendBeat()
-			sent = time.Now()
-			continue
-		case <-tick.C:
-		}
-		sent = time.Now()
+	for ctx.Err() == nil {
+		sleep(ctx, p.beatTime())
 		p.listed()
 		p.knowledge.tick(p.control.away())
 		p.sendBeat()
 		p.compare(ctx)
 	}
+	return ctx.Err()
+}
+
+// beatTime returns the time between two beats.
+func (p *peers) beatTime() time.Duration {
+	hosts := time.Duration(len(p.View().Members))
+	return min(beatTime*max(hosts, beatHosts)/beatHosts, mostBeat)
 }
 
 // listed takes over the members that the store names.
@@ -254,22 +245,9 @@
 	p.rebuild()
 }
 
-// gatherTime is the least time between two beats. It grows with the fleet, so
-// that what a host hears in a second doesn't.
-func (p *peers) gatherTime() time.Duration {
-	return leastGather * time.Duration(max(len(p.View().Members)/gatherHosts, 1))
-}
-
 func (p *peers) sendBeat() {
 	_, good := p.belief.check()
 	b := beat{Member: p.Self(), Digest: p.knowledge.Digest(), Good: good, Fresh: p.control.fresh()}
-	own := p.fleet.Own()
-	for life, load := range own.Loads {
-		b.Loads = append(b.Loads, lifeLoad{Life: life, Load: load})
-	}
-	for life, pace := range own.Paces {
-		b.Paces = append(b.Paces, lifePace{Life: life, Pace: pace})
-	}
 	if _, err := p.mesh.Spread(lavmesh.TopicBeat, b); err != nil {
 		p.logger.Warn().Err(err).Msg("beat not sent")
 	}
@@ -281,17 +259,6 @@
 	if err := lavmesh.Decode(body, &b); err != nil {
 		return nil, err
 	}
-	report := lavfleet.Report{
-		Loads: make(map[lavconfig.Life]lavplan.Load, len(b.Loads)),
-		Paces: make(map[lavconfig.Life]float64, len(b.Paces)),
-	}
-	for _, l := range b.Loads {
-		report.Loads[l.Life] = l.Load
-	}
-	for _, l := range b.Paces {
-		report.Paces[l.Life] = l.Pace
-	}
-	p.fleet.Hear(b.Member.Incarnation, report)
 	digest := p.knowledge.Digest()
 	now := time.Now()
 	p.mu.Lock()
@@ -332,13 +299,10 @@
 	return entries{Entries: p.knowledge.Entries(), Good: good, Settled: p.control.settled()}, nil
 }
 
-// compare asks a peer for what it knows, if the store doesn't tell this host and
-// the peer knows other things or this host may not act on what it knows.
+// compare asks a peer for what it knows, if the peer has known other things for
+// a while or this host may not act on what it knows.
 func (p *peers) compare(ctx context.Context) {
 	era, good := p.belief.check()
-	if good && p.control.fresh() {
-		return
-	}
 	from, ok := p.teacher(good)
 	if !ok {
 		return
--- a/lavplan/play_test.go
+++ b/lavplan/play_test.go
@@ -34,13 +34,24 @@
 	events    float64
 	objective time.Duration
 	pause     time.Duration
+	// from and until bound the arrivals; without until they go on to the end.
+	from, until time.Duration
 }
 
 // The kinds of the users' site sheets; the rates are those of a calm day.
 var (
-	captions = kind{"caption", 30, 4960, 0.9, 23_800, 35, 300 * time.Millisecond, 200 * time.Millisecond}
-	packs    = kind{"pack", 2.2, 45_000, 0.5, 110_000, 21, 1500 * time.Millisecond, 500 * time.Millisecond}
-	reviews  = kind{"review", 0.9, 210_000, 0.55, 1_000_000, 17, 3 * time.Second, 800 * time.Millisecond}
+	captions = kind{
+		name: "caption", perSecond: 30, tokens: 4960, spread: 0.9, most: 23_800, events: 35,
+		objective: 300 * time.Millisecond, pause: 200 * time.Millisecond,
+	}
+	packs = kind{
+		name: "pack", perSecond: 2.2, tokens: 45_000, spread: 0.5, most: 110_000, events: 21,
+		objective: 1500 * time.Millisecond, pause: 500 * time.Millisecond,
+	}
+	reviews = kind{
+		name: "review", perSecond: 0.9, tokens: 210_000, spread: 0.55, most: 1_000_000, events: 17,
+		objective: 3 * time.Second, pause: 800 * time.Millisecond,
+	}
 )
 
 func (k kind) times(x float64) kind {
@@ -48,6 +59,12 @@
 	return k
 }
 
+// between returns the kind with arrivals in that time only.
+func (k kind) between(from, until time.Duration) kind {
+	k.from, k.until = from, until
+	return k
+}
+
 // drawTokens draws a length with the kind's mean and spread.
 func (k kind) drawTokens(draw *rand.Rand) int {
 	sigma := math.Sqrt(math.Log(1 + k.spread*k.spread))
@@ -147,7 +164,10 @@
 }
 
 func (w *world) arrivals(k kind, length time.Duration) {
-	at := time.Duration(0)
+	at := k.from
+	if k.until > 0 {
+		length = k.until
+	}
 	for {
 		at += time.Duration(w.draw.ExpFloat64() / k.perSecond * float64(time.Second))
 		if at > length {
