--- a/lavhost/control.go
+++ b/lavhost/control.go
@@ -33,6 +33,9 @@
 	// lapseTime is how long the store must be away for entries of endpoints
 	// that live to lapse.
 	lapseTime = 2 * time.Second
+	// steadyGap is the longest time between two answers of a store that is
+	// followed closely.
+	steadyGap = batchTime + watchTime + callTime
 )
 
 // Source is the part of the store that a host follows.
@@ -49,6 +52,8 @@
 	logger    *log.Logger
 	// tell spreads news that matter.
 	tell func(news []lavmirror.Entry, settled bool)
+	// sureOfStore reports whether this host or a peer is sure of the store.
+	sureOfStore func() bool
 	// told reports whether this host is no watcher and a watcher tells it of
 	// changes.
 	told func() bool
@@ -59,6 +64,8 @@
 	heard     time.Time
 	awaySince time.Time
 	backAt    time.Time
+	// steadySince is since when the store has answered again and again.
+	steadySince time.Time
 }
 
 // Serve implements suture.Service.
@@ -114,20 +121,20 @@
 		if err != nil {
 			return after, err
 		}
-		news = c.knowledge.replace(all, next, c.settled())
+		news = c.knowledge.replace(all, next, c.sureOfStore())
 	} else {
 		var changed []lavmirror.Entry
 		changed, next, err = c.source.Changes(ctx, "", after, wait)
 		if err != nil {
 			return after, err
 		}
-		news = c.knowledge.apply(changed, c.settled())
+		news = c.knowledge.apply(changed, c.sureOfStore())
 	}
 	if c.belief.confirm(era) {
 		c.logger.Info().Uint64("Revision", uint64(next)).Msg("knowledge confirmed by the store")
 	}
 	if len(news) > 0 {
-		c.tell(news, c.settled())
+		c.tell(news, c.sureOfStore())
 	}
 	return next, nil
 }
@@ -150,6 +157,9 @@
 			c.backAt = now
 		}
 	}
+	if !c.awaySince.IsZero() || now.Sub(c.heard) > steadyGap {
+		c.steadySince = now
+	}
 	c.awaySince = time.Time{}
 	c.heard = now
 }
@@ -173,9 +183,16 @@
 	return c.backAt.IsZero() || now.Sub(c.backAt) > returnTime
 }
 
-// sure reports whether this host hears the store and knows it to be settled,
-// whatever a peer that is just back may think.
-func (c *control) sure() bool { return c.fresh() && c.settled() }
+// sure reports whether this host has heard the store all the time for so long
+// that no entry can have lapsed while the store was away.
+func (c *control) sure() bool {
+	if !c.fresh() || !c.settled() {
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return time.Since(c.steadySince) > returnTime
+}
 
 // fresh reports whether the store answered lately.
 func (c *control) fresh() bool {
--- a/lavhost/host.go
+++ b/lavhost/host.go
@@ -110,6 +110,8 @@
 		logger:    h.edges.Logger,
 		tell:      h.peers.tell,
 		told:      h.peers.told,
+
+		sureOfStore: h.peers.sureOfStore,
 	}
 	h.peers.control = h.control
 	h.loads = newLoads(h.mesh, h.fleet, h.peers, h.edges.Logger)
--- a/lavhost/knowledge.go
+++ b/lavhost/knowledge.go
@@ -260,14 +260,14 @@
 }
 
 // tick drops endpoints that have been missing for too long since the store came
-// back. While it is away the last list holds.
-func (k *knowledge) tick(away bool) {
+// back, or at once if it has not been away. While it is away the last list holds.
+func (k *knowledge) tick(away, sure bool) {
 	now := time.Now()
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	dropped := false
 	for id, until := range k.missing {
-		if !away && now.After(until) {
+		if sure || !away && now.After(until) {
 			delete(k.missing, id)
 			delete(k.endpoints, id)
 			dropped = true
--- a/lavhost/knowledge_test.go
+++ b/lavhost/knowledge_test.go
@@ -64,12 +64,12 @@
 			k.apply([]lavmirror.Entry{removed(3)}, false)
 			lavassert.True(t, "it may come back", serves(k))
 			time.Sleep(returnTime / 2)
-			k.tick(false)
+			k.tick(false, false)
 			lavassert.True(t, "it may still come back", serves(k))
 			time.Sleep(returnTime)
-			k.tick(true)
+			k.tick(true, false)
 			lavassert.True(t, "the last list holds while the store is away", serves(k))
-			k.tick(false)
+			k.tick(false, false)
 			lavassert.True(t, "it is gone", !serves(k))
 		})
 	})
@@ -79,7 +79,7 @@
 			k.apply([]lavmirror.Entry{removed(3)}, false)
 			k.apply([]lavmirror.Entry{endpointEntry(4, "ready")}, false)
 			time.Sleep(2 * returnTime)
-			k.tick(false)
+			k.tick(false, false)
 			lavassert.True(t, "it serves", serves(k))
 		})
 	})
@@ -99,7 +99,10 @@
 	synctest.Test(t, func(t *testing.T) {
 		k := startKnowledge(t)
 		c := &control{knowledge: k, logger: quiet}
-		c.note(nil)
+		for range 10 {
+			c.note(nil)
+			time.Sleep(batchTime)
+		}
 		lavassert.True(t, "the host is sure", c.sure())
 		peerIsSettled := false
 		k.apply([]lavmirror.Entry{removed(3)}, peerIsSettled || c.sure())
@@ -107,6 +110,16 @@
 	})
 }
 
+// TestPeerIsSure is the case of a host that follows the store through others: it
+// drops what it held as soon as a host that has heard the store says so.
+func TestPeerIsSure(t *testing.T) {
+	k := startKnowledge(t)
+	k.apply([]lavmirror.Entry{removed(3)}, false)
+	lavassert.True(t, "it may come back", serves(k))
+	k.tick(false, true)
+	lavassert.True(t, "it is gone", !serves(k))
+}
+
 func TestSettled(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := &control{logger: quiet}
--- a/lavhost/peers.go
+++ b/lavhost/peers.go
@@ -54,6 +54,8 @@
 	Good   bool   `cbor:"3,keyasint"`
 	// Fresh says that the host hears the store.
 	Fresh bool `cbor:"4,keyasint,omitempty"`
+	// Sure says that the store has not been away lately.
+	Sure bool `cbor:"5,keyasint,omitempty"`
 }
 
 // news are entries that have changed.
@@ -79,6 +81,8 @@
 	good bool
 	// fresh says that the peer hears the store.
 	fresh bool
+	// sure says that the peer is sure of the store.
+	sure bool
 	// differs is since when the peer has known other things than this host.
 	differs time.Time
 }
@@ -219,7 +223,7 @@
 	for ctx.Err() == nil {
 		sleep(ctx, p.beatTime())
 		p.listed()
-		p.knowledge.tick(p.control.away())
+		p.knowledge.tick(p.control.away(), p.sureOfStore())
 		p.sendBeat()
 		p.compare(ctx)
 	}
@@ -247,7 +251,7 @@
 
 func (p *peers) sendBeat() {
 	_, good := p.belief.check()
-	b := beat{Member: p.Self(), Digest: p.knowledge.Digest(), Good: good, Fresh: p.control.fresh()}
+	b := beat{Member: p.Self(), Digest: p.knowledge.Digest(), Good: good, Fresh: p.control.fresh(), Sure: p.control.sure()}
 	if _, err := p.mesh.Spread(lavmesh.TopicBeat, b); err != nil {
 		p.logger.Warn().Err(err).Msg("beat not sent")
 	}
@@ -267,7 +271,7 @@
 	if known == nil {
 		return nil, nil
 	}
-	known.heard, known.good, known.fresh = now, b.Good, b.Fresh
+	known.heard, known.good, known.fresh, known.sure = now, b.Good, b.Fresh, b.Sure
 	if b.Digest == digest {
 		known.differs = time.Time{}
 	} else if known.differs.IsZero() {
@@ -282,7 +286,7 @@
 	if err := lavmesh.Decode(body, &n); err != nil {
 		return nil, err
 	}
-	p.knowledge.apply(n.Entries, n.Settled || p.control.sure())
+	p.knowledge.apply(n.Entries, n.Settled || p.sureOfStore())
 	return nil, nil
 }
 
@@ -296,7 +300,7 @@
 // giveEntries is the mesh's handler of peers that ask what this host knows.
 func (p *peers) giveEntries(context.Context, string, []byte) (any, error) {
 	_, good := p.belief.check()
-	return entries{Entries: p.knowledge.Entries(), Good: good, Settled: p.control.settled()}, nil
+	return entries{Entries: p.knowledge.Entries(), Good: good, Settled: p.sureOfStore()}, nil
 }
 
 // compare asks a peer for what it knows, if the peer has known other things for
@@ -314,7 +318,7 @@
 		p.logger.Warn().Err(err).Str("Peer", from).Msg("entries not had")
 		return
 	}
-	p.knowledge.apply(got.Entries, got.Settled || p.control.sure())
+	p.knowledge.apply(got.Entries, got.Settled || p.sureOfStore())
 	p.mu.Lock()
 	if known := p.all[from]; known != nil {
 		known.differs = time.Time{}
@@ -342,6 +346,26 @@
 	return "", false
 }
 
+// sureTime is how long it holds that a peer is sure of the store.
+const sureTime = time.Second
+
+// sureOfStore reports whether this host or a peer is sure that the store has not
+// been away lately, so that an entry that goes is gone.
+func (p *peers) sureOfStore() bool {
+	if p.control.sure() {
+		return true
+	}
+	now := time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, known := range p.all {
+		if known.sure && now.Sub(known.heard) < sureTime {
+			return true
+		}
+	}
+	return false
+}
+
 // informed reports whether a peer that hears the store knows what this host
 // knows.
 func (p *peers) informed() bool {
