Choose first endpoints among a few drawn ones in large fleets; let readings drain more slowly

Cause: 68 hosts that know the same endpoints choose the same one before they hear of each other (41 streams at an endpoint of 12 slots that was known with 11); totals come 0.05 s apart at the median and 0.6 s at the 99th of 100.

--- a/lavfleet/fleet.go
+++ b/lavfleet/fleet.go
@@ -235,6 +235,8 @@
 	// Bound is true if endpoints were left out because they may be cold and
 	// have got this host's part of what they bear.
 	Bound bool
+	// Hosts is how many hosts place requests there.
+	Hosts int
 }
 
 // Board returns the endpoints of a service but for those that skip names. It
@@ -248,7 +250,7 @@
 	if svc == nil {
 		return Board{}, false
 	}
-	b := Board{Service: svc.Service}
+	b := Board{Service: svc.Service, Hosts: f.hosts}
 	share := f.coldShare(svc)
 	for _, s := range svc.endpoints {
 		if !f.serves(s) || skip(s.Life()) {
--- a/lavfleet/reading.go
+++ b/lavfleet/reading.go
@@ -13,9 +13,19 @@
 	part   time.Duration
 }
 
+const (
+	// readRate is the part of its time that an endpoint reads; it writes in the
+	// rest.
+	readRate = 0.85
+	// unreadPart is the part of a prompt's part that counts until its first
+	// event, also if it should have been read.
+	unreadPart = 0.25
+)
+
 // left returns how long the endpoint still has to read the part.
 func (r *reading) left(now time.Time) time.Duration {
-	return min(max(r.part-now.Sub(r.begins), 0), r.part)
+	passed := time.Duration(readRate * float64(max(now.Sub(r.begins), 0)))
+	return max(r.part-passed, time.Duration(unreadPart*float64(r.part)))
 }
 
 // ahead returns what an endpoint has to read for this host and for the others.
--- a/lavplan/place.go
+++ b/lavplan/place.go
@@ -75,24 +75,62 @@
 	helperCost = 0.02
 	// tieSpread is how far apart hosts rate the same endpoint.
 	tieSpread = 0.12
+	// asideCost puts endpoints that weren't drawn behind those that were.
+	asideCost = 100
 )
 
+// In a fleet of more than sampleHosts, hosts place many prompts between two times
+// that they hear of each other. If each one took the best endpoint that it knows,
+// all would take the same. A host then chooses the first endpoint among a few
+// that it draws for each prompt: the fewer, the more hosts there are.
+const (
+	sampleHosts = 16
+	// samplePart is the part of the endpoints that is drawn in a fleet just
+	// larger than that, and leastSample the fewest.
+	samplePart  = 0.3
+	leastSample = 3
+)
+
+// Ties are costs that are drawn for each endpoint, so that hosts that see the
+// same board differ.
+type Ties struct {
+	// Part is for reading a part, and First for writing the answer.
+	Part, First []float64
+}
+
+// DrawTies draws the ties for one prompt in a fleet of that many hosts. Draw
+// returns numbers from 0 up to 1.
+func DrawTies(endpoints, hosts int, draw func() float64) Ties {
+	t := Ties{Part: make([]float64, endpoints), First: make([]float64, endpoints)}
+	for i := range t.Part {
+		t.Part[i] = draw() * tieSpread
+	}
+	if hosts <= sampleHosts {
+		return t
+	}
+	share := samplePart * sampleHosts / float64(hosts)
+	sample := max(int(share*float64(endpoints)), leastSample)
+	drawn := slices.Sorted(slices.Values(t.Part))
+	for i := range t.First {
+		if sample < endpoints && t.Part[i] >= drawn[sample] {
+			t.First[i] += asideCost
+		}
+	}
+	return t
+}
+
 // Place chooses the endpoints for a prompt, or reports false if there is none
-// with room. Draw breaks ties, so that hosts that see the same board differ.
+// with room. Ties are added to the costs of the endpoints.
 //
 // For each number of parts it takes the endpoints that are harmed least by one
 // of them, and of all these choices the one that costs least: answers that the
 // longer passes make late, and this prompt's own if it is read too slowly.
-func Place(e *lavconfig.Engine, p Prompt, board []Candidate, draw func() float64) (Plan, bool) {
-	noise := make([]float64, len(board))
-	for i := range noise {
-		noise[i] = draw() * tieSpread
-	}
+func Place(e *lavconfig.Engine, p Prompt, board []Candidate, ties Ties) (Plan, bool) {
 	least, most := partsFor(e, p, board)
 	lowest := math.Inf(1)
 	best := Plan{}
 	for parts := least; parts <= most; parts++ {
-		plan, cost, ok := placeParts(e, p, board, noise, parts)
+		plan, cost, ok := placeParts(e, p, board, ties, parts)
 		if ok && cost < lowest {
 			best, lowest = plan, cost
 		}
@@ -139,15 +177,15 @@
 }
 
 // placeParts chooses so many endpoints for the parts of a prompt.
-func placeParts(e *lavconfig.Engine, p Prompt, board []Candidate, noise []float64, parts int) (Plan, float64, bool) {
+func placeParts(e *lavconfig.Engine, p Prompt, board []Candidate, ties Ties, parts int) (Plan, float64, bool) {
 	part := ReadTime(e, p.Tokens, parts)
 	costs := make([]float64, len(board))
 	order := make([]int, len(board))
 	for i, c := range board {
-		costs[i] = partCost(e, c, part) + noise[i]
+		costs[i] = partCost(e, c, part) + ties.Part[i]
 		order[i] = i
 	}
-	first, total, ok := chooseFirst(e, p, board, costs, parts == 1)
+	first, total, ok := chooseFirst(e, p, board, costs, ties.First, parts == 1)
 	if !ok {
 		return Plan{}, 0, false
 	}
@@ -205,13 +243,13 @@
 
 // chooseFirst chooses the endpoint that writes the answer, by what its part
 // costs there, its free slots and memory, and the company that the stream has.
-func chooseFirst(e *lavconfig.Engine, p Prompt, board []Candidate, costs []float64, alone bool) (int, float64, bool) {
+func chooseFirst(e *lavconfig.Engine, p Prompt, board []Candidate, costs, ties []float64, alone bool) (int, float64, bool) {
 	best, least := -1, math.Inf(1)
 	for i, c := range board {
 		if alone && c.Memory+p.Memory(e) > memoryLimit(e) {
 			continue
 		}
-		cost := costs[i] + slotCost(c) + float64(c.Memory)/float64(max(e.MemoryTokens, 1))
+		cost := costs[i] + ties[i] + slotCost(c) + float64(c.Memory)/float64(max(e.MemoryTokens, 1))
 		cost += companyCost(p, c)
 		if c.Memory+p.Memory(e) > memoryLimit(e) {
 			cost += reserveCost
--- a/lavrelay/relay.go
+++ b/lavrelay/relay.go
@@ -205,7 +205,8 @@
 	if b.Service.Engine == nil {
 		return lavplan.PlaceCall(b.Candidates, t.relay.draw)
 	}
-	plan, ok := lavplan.Place(b.Service.Engine, t.call.Prompt, b.Candidates, t.relay.draw)
+	ties := lavplan.DrawTies(len(b.Candidates), b.Hosts, t.relay.draw)
+	plan, ok := lavplan.Place(b.Service.Engine, t.call.Prompt, b.Candidates, ties)
 	return plan, ok && (t.arrivals > 0 || lavplan.Admit(t.call.Prompt, plan, b.Candidates))
 }
 
