--- a/cmd/lavenderrack/entry.go
+++ b/cmd/lavenderrack/entry.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"flag"
+	"math"
 	"net"
 	"net/http"
 	"net/netip"
@@ -36,23 +37,29 @@
 // entryCommand runs an entry host on the users' platform.
 type entryCommand struct {
 	streams
+	metrics uint
 }
 
 func (*entryCommand) Name() string     { return "entry" }
 func (*entryCommand) Synopsis() string { return "run an entry host on the platform" }
 func (*entryCommand) Usage() string {
-	return `entry
+	return `entry [-metrics PORT]
   Run an entry host by the platform's settings file until SIGTERM, then drain it.
 
 `
 }
 
-func (*entryCommand) SetFlags(*flag.FlagSet) {}
+func (c *entryCommand) SetFlags(f *flag.FlagSet) {
+	f.UintVar(&c.metrics, "metrics", 0, "serve counters at this `PORT`, 0 for nowhere")
+}
 
 func (c *entryCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
 	if err := c.checkFlags(f); err != nil {
 		return c.usage("entry: %v", err)
 	}
+	if c.metrics > math.MaxUint16 {
+		return c.usage("entry: -metrics %d is no port", c.metrics)
+	}
 	path, err := platform.SettingsPath()
 	if err != nil {
 		return c.fail(err, subcommands.ExitUsageError)
@@ -62,14 +69,14 @@
 		return c.fail(err, subcommands.ExitUsageError)
 	}
 	load := func() (platform.Settings, error) { return platform.LoadSettings(path) }
-	if err := runEntry(ctx, settings, load); err != nil {
+	if err := runEntry(ctx, settings, uint16(c.metrics), load); err != nil {
 		return c.fail(err, subcommands.ExitFailure)
 	}
 	return subcommands.ExitSuccess
 }
 
 // runEntry runs an entry host until the context ends.
-func runEntry(ctx context.Context, s platform.Settings, load func() (platform.Settings, error)) error {
+func runEntry(ctx context.Context, s platform.Settings, metricsPort uint16, load func() (platform.Settings, error)) error {
 	hangup := make(chan os.Signal, 1)
 	signal.Notify(hangup, syscall.SIGHUP)
 	defer signal.Stop(hangup)
@@ -97,6 +104,8 @@
 		Reload:  load,
 		Hangup:  hangup,
 		Metrics: reporter.HTTPHandler(),
+
+		MetricsPort: metricsPort,
 	})
 	return host.Serve(ctx)
 }
--- a/lavfleet/fleet.go
+++ b/lavfleet/fleet.go
@@ -237,6 +237,8 @@
 	Bound bool
 	// Hosts is how many hosts place requests there.
 	Hosts int
+	// Age is how long ago this host heard of the others' work.
+	Age time.Duration
 }
 
 // Board returns the endpoints of a service but for those that skip names. It
@@ -250,7 +252,7 @@
 	if svc == nil {
 		return Board{}, false
 	}
-	b := Board{Service: svc.Service, Hosts: f.hosts}
+	b := Board{Service: svc.Service, Hosts: f.hosts, Age: now.Sub(f.othersAt)}
 	share := f.coldShare(svc)
 	for _, s := range svc.endpoints {
 		if !f.serves(s) || skip(s.Life()) {
--- a/lavhost/host.go
+++ b/lavhost/host.go
@@ -47,8 +47,9 @@
 	// Reload reads the settings anew, and Hangup asks for it.
 	Reload func() (platform.Settings, error)
 	Hangup <-chan os.Signal
-	// Metrics answers with the counters, nil if they are not served.
-	Metrics http.Handler
+	// Metrics answers with the counters at MetricsPort, 0 for nowhere.
+	Metrics     http.Handler
+	MetricsPort uint16
 }
 
 // Host is one entry host.
@@ -199,9 +200,6 @@
 func (h *Host) listen(tree *suture.Supervisor) error {
 	mesh := http.NewServeMux()
 	mesh.Handle(lavmesh.Path, h.mesh)
-	if h.edges.Metrics != nil {
-		mesh.Handle("/metrics", h.edges.Metrics)
-	}
 	faces := []struct {
 		name    string
 		at      netip.AddrPort
@@ -219,9 +217,23 @@
 		}
 		tree.Add(&face{name: f.name, listener: l, handler: f.handler, logger: h.edges.Logger})
 	}
+	h.listenForMetrics(tree)
 	return nil
 }
 
+// listenForMetrics serves the counters. A host does its work without them.
+func (h *Host) listenForMetrics(tree *suture.Supervisor) {
+	if h.edges.MetricsPort == 0 {
+		return
+	}
+	l, err := h.edges.Listen(netip.AddrPortFrom(h.settings.Address, h.edges.MetricsPort))
+	if err != nil {
+		h.edges.Logger.Error().Err(err).Msg("metrics are not served")
+		return
+	}
+	tree.Add(&face{name: "metrics", listener: l, handler: h.edges.Metrics, logger: h.edges.Logger})
+}
+
 // sweepTime is the time between looks for connections that are of no more use.
 const sweepTime = time.Second
 
--- a/lavplan/place.go
+++ b/lavplan/place.go
@@ -164,11 +164,22 @@
 // busyTime is the reading ahead at the mean endpoint from which a fleet is busy.
 const busyTime = 150 * time.Millisecond
 
+// Doubtful returns how many candidates have failed lately.
+func Doubtful(board []Candidate) int {
+	n := 0
+	for _, c := range board {
+		if c.Doubtful {
+			n++
+		}
+	}
+	return n
+}
+
 // Busy reports whether much is to be read already.
-func Busy(board []Candidate) bool { return backlog(board) > busyTime }
+func Busy(board []Candidate) bool { return Backlog(board) > busyTime }
 
-// backlog returns the reading ahead at the mean endpoint.
-func backlog(board []Candidate) time.Duration {
+// Backlog returns the reading ahead at the mean endpoint.
+func Backlog(board []Candidate) time.Duration {
 	var sum time.Duration
 	for _, c := range board {
 		sum += c.Reading
--- a/lavplan/refuse.go
+++ b/lavplan/refuse.go
@@ -36,7 +36,7 @@
 
 // RetryAfter returns when room is expected: as what is to be read has been read.
 func RetryAfter(board []Candidate, draw func() float64) time.Duration {
-	wait := max(backlog(board), leastRetryAfter)
+	wait := max(Backlog(board), leastRetryAfter)
 	wait += time.Duration(retrySpread * draw() * float64(wait))
 	return min(wait, mostRetryAfter)
 }
--- a/lavrelay/relay.go
+++ b/lavrelay/relay.go
@@ -170,6 +170,7 @@
 		}
 		inTime := time.Now().Before(until)
 		plan, ok := t.plan(board)
+		t.trace.decide(board, plan)
 		if ok && (!plan.Wait || !t.mayWait(plan, lateUntil)) {
 			if c := t.begin(board, plan); c != nil {
 				t.trace.held = time.Since(begun)
--- a/lavrelay/trace.go
+++ b/lavrelay/trace.go
@@ -3,6 +3,9 @@
 import (
 	"time"
 
+	"lavenderrack.example/lavenderrack/lavfleet"
+	"lavenderrack.example/lavenderrack/lavplan"
+
 	"github.com/phuslu/log"
 	"github.com/uber-go/tally/v4"
 )
@@ -13,6 +16,10 @@
 	helpers   int
 	reading   time.Duration
 	refusals  int
+	// What decided where the last attempt went, or that none did.
+	candidates, doubtful int
+	backlog, expected    time.Duration
+	age                  time.Duration
 	// held is how long the last attempt waited before it was sent.
 	held    time.Duration
 	failure string
@@ -27,6 +34,13 @@
 	t.reading = c.plan.Reading
 }
 
+// decide notes what a decision was made by.
+func (t *trace) decide(b lavfleet.Board, p lavplan.Plan) {
+	t.candidates, t.doubtful = len(b.Candidates), lavplan.Doubtful(b.Candidates)
+	t.backlog, t.expected = lavplan.Backlog(b.Candidates), p.Expected
+	t.age = b.Age
+}
+
 func (t *trace) fail(err error) { t.failure = err.Error() }
 
 // event notes that bytes of a stream went to the caller.
@@ -55,6 +69,12 @@
 		Strs("Endpoints", t.trace.endpoints).
 		Int("Helpers", t.trace.helpers).
 		Dur("Reading", t.trace.reading).
+		Int("Candidates", t.trace.candidates).
+		Int("Doubtful", t.trace.doubtful).
+		Dur("Backlog", t.trace.backlog).
+		Dur("Expected", t.trace.expected).
+		Dur("LoadAge", t.trace.age).
+		Bool("Returned", t.call.Prompt.Returned).
 		Dur("Held", t.trace.held).
 		Int("Runs", t.runs).
 		Int("Refusals", t.trace.refusals).
