Doubt what a process believes that has been stopped

Cause: SIGSTOP shows in neither clock of the machine; a host that was continued went on by what it knew before. The test fails without the mend.

--- a/lavhost/belief.go
+++ b/lavhost/belief.go
@@ -13,6 +13,9 @@
 	// freezeBound is how far the boot clock may run ahead of the steady clock
 	// before the host counts as having been frozen.
 	freezeBound = 250 * time.Millisecond
+	// stallBound is how long nothing in the process may look at its belief, which
+	// each beat does, before the process counts as having been stopped.
+	stallBound = 2 * time.Second
 	// awaitTime is how long a request waits for the host to know what holds.
 	awaitTime = 800 * time.Millisecond
 )
@@ -42,23 +45,30 @@
 	era       uint64
 	good      bool
 	suspended time.Duration
-	changed   chan struct{}
+	// looked is when the belief was last looked at.
+	looked  time.Time
+	changed chan struct{}
 }
 
 func newBelief(clock Clock) *belief {
 	return &belief{clock: clock, suspended: clock(), changed: make(chan struct{})}
 }
 
-// check notices a freeze and returns the era and whether the belief is good.
+// check notices that the machine was frozen or the process stopped, and returns
+// the era and whether the belief is good.
 func (b *belief) check() (uint64, bool) {
+	now := time.Now()
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	now := b.clock()
-	if now-b.suspended > freezeBound {
+	suspended := b.clock()
+	frozen := suspended-b.suspended > freezeBound
+	stopped := !b.looked.IsZero() && now.Sub(b.looked) > stallBound
+	if frozen || stopped {
 		b.era++
 		b.good = false
 	}
-	b.suspended = max(b.suspended, now)
+	b.suspended = max(b.suspended, suspended)
+	b.looked = now
 	return b.era, b.good
 }
 
--- a/lavhost/knowledge_test.go
+++ b/lavhost/knowledge_test.go
@@ -197,6 +197,24 @@
 	})
 }
 
+// TestStoppedProcess notices that the process didn't run, as after SIGSTOP, which
+// neither clock of the machine shows.
+func TestStoppedProcess(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBelief(func() time.Duration { return 0 })
+		era, _ := b.check()
+		b.confirm(era)
+		for range 5 {
+			time.Sleep(mostBeat)
+			_, good := b.check()
+			lavassert.True(t, "good while it runs", good)
+		}
+		time.Sleep(stallBound + time.Millisecond)
+		_, good := b.check()
+		lavassert.True(t, "not good after a stop", !good)
+	})
+}
+
 func TestPatiences(t *testing.T) {
 	var p patiences
 	lavassert.True(t, "new", !p.returned("r", 10*time.Second))
