--- a/lavfleet/budget.go
+++ b/lavfleet/budget.go
@@ -16,17 +16,21 @@
 type budget struct {
 	requests window
 	repeats  window
+	// since is when the count began. What a host spent before it was restarted
+	// is not known, so that its part of the burst grows over one window.
+	since time.Time
 }
 
-func newBudget(span time.Duration) *budget {
+func newBudget(now time.Time, span time.Duration) *budget {
 	// Repeats count a little longer than the bound's window, since they are
 	// counted as they arrive.
-	return &budget{requests: window{span: span}, repeats: window{span: span + span/10}}
+	return &budget{requests: window{span: span}, repeats: window{span: span + span/10}, since: now}
 }
 
 // spend takes one repeat if the host's part of the bound allows it.
 func (b *budget) spend(now time.Time, bounds BudgetBounds, hosts int) bool {
-	allowed := bounds.Ratio*float64(b.requests.count(now)) + bounds.Burst/float64(max(hosts, 1))
+	grown := min(now.Sub(b.since).Seconds()/bounds.Window.Seconds(), 1)
+	allowed := bounds.Ratio*float64(b.requests.count(now)) + grown*bounds.Burst/float64(max(hosts, 1))
 	if float64(b.repeats.count(now)+1) > allowed {
 		return false
 	}
--- a/lavfleet/fleet.go
+++ b/lavfleet/fleet.go
@@ -39,6 +39,8 @@
 	others   Report
 	othersAt time.Time
 	hosts    int
+	// born is when this host began to count.
+	born time.Time
 	// changed tells of long readings that began or ended.
 	changed chan struct{}
 }
@@ -80,6 +82,7 @@
 		services:  make(map[string]*service),
 		out:       make(map[string]bool),
 		hosts:     1,
+		born:      time.Now(),
 		changed:   make(chan struct{}, 1),
 	}
 }
@@ -127,7 +130,7 @@
 func (f *Fleet) updateServices(services []lavconfig.Service) {
 	next := make(map[string]*service, len(services))
 	for _, s := range services {
-		b := newBudget(f.bounds.Retry.Window)
+		b := newBudget(f.born, f.bounds.Retry.Window)
 		if had := f.services[s.Name]; had != nil {
 			b = had.budget
 		}
