--- a/lavfleet/budget.go
+++ b/lavfleet/budget.go
@@ -17,7 +17,7 @@
 	requests window
 	repeats  window
 	// since is when the count began. What a host spent before it was restarted
-	// is not known, so that its part of the burst grows over one window.
+	// is not known, so that it has no part of the burst for one window.
 	since time.Time
 }
 
@@ -29,8 +29,10 @@
 
 // spend takes one repeat if the host's part of the bound allows it.
 func (b *budget) spend(now time.Time, bounds BudgetBounds, hosts int) bool {
-	grown := min(now.Sub(b.since).Seconds()/bounds.Window.Seconds(), 1)
-	allowed := bounds.Ratio*float64(b.requests.count(now)) + grown*bounds.Burst/float64(max(hosts, 1))
+	allowed := bounds.Ratio * float64(b.requests.count(now))
+	if now.Sub(b.since) >= bounds.Window {
+		allowed += bounds.Burst / float64(max(hosts, 1))
+	}
 	if float64(b.repeats.count(now)+1) > allowed {
 		return false
 	}
--- a/lavrelay/relay_test.go
+++ b/lavrelay/relay_test.go
@@ -55,7 +55,7 @@
 	}
 	fleet := lavfleet.New(lavfleet.Bounds{Retry: lavfleet.BudgetBounds{Ratio: 0.2, Window: 10 * time.Second, Burst: 10}})
 	fleet.Update([]lavconfig.Service{{Name: "s"}}, known, nil)
-	// A host's part of the retry budget grows over one window.
+	// A host has its part of the retry budget's burst after one window.
 	time.Sleep(10 * time.Second)
 	doubts := &noDoubts{}
 	// Without a draw the first endpoint of equals is taken.
