--- a/lavhost/loads.go
+++ b/lavhost/loads.go
@@ -46,42 +46,6 @@
 // keeperName is what keepers are ranked for.
 const keeperName = "keeper of loads"
 
-// report is what a host has running.
-type report struct {
-	Number uint64 `cbor:"1,keyasint"`
-	// Primary is true if the receiver is the first keeper by the sender's view.
-	Primary bool       `cbor:"2,keyasint,omitempty"`
-	Host    string     `cbor:"3,keyasint"`
-	Loads   []lifeLoad `cbor:"4,keyasint,omitempty"`
-	Paces   []lifePace `cbor:"5,keyasint,omitempty"`
-}
-
-// totals is what all hosts have running.
-type totals struct {
-	Loads []lifeLoad `cbor:"1,keyasint,omitempty"`
-	Paces []lifePace `cbor:"2,keyasint,omitempty"`
-	// Counted names the report of each host that is in the sum.
-	Counted []counted `cbor:"3,keyasint,omitempty"`
-	// Keeper is who added up, and Number the how-manieth time.
-	Keeper string `cbor:"4,keyasint"`
-	Number uint64 `cbor:"5,keyasint"`
-}
-
-type counted struct {
-	Host   uint64 `cbor:"1,keyasint"`
-	Number uint64 `cbor:"2,keyasint"`
-}
-
-type lifeLoad struct {
-	Life lavconfig.Life `cbor:"1,keyasint"`
-	Load lavplan.Load   `cbor:"2,keyasint"`
-}
-
-type lifePace struct {
-	Life lavconfig.Life `cbor:"1,keyasint"`
-	Pace float64        `cbor:"2,keyasint"`
-}
-
 // loads tells the hosts of each other's work. In a small fleet each host reports
 // to all others, and each one adds up. In a larger one it reports to two
 // keepers, the first of which tells all hosts the totals: what a host hears then
@@ -227,22 +191,6 @@
 	return rest[first:min(first+fanOut, len(rest))]
 }
 
-func loadsOf(r lavfleet.Report) []lifeLoad {
-	out := make([]lifeLoad, 0, len(r.Loads))
-	for life, load := range r.Loads {
-		out = append(out, lifeLoad{Life: life, Load: load})
-	}
-	return out
-}
-
-func pacesOf(r lavfleet.Report) []lifePace {
-	out := make([]lifePace, 0, len(r.Paces))
-	for life, pace := range r.Paces {
-		out = append(out, lifePace{Life: life, Pace: pace})
-	}
-	return out
-}
-
 // hearReport is the handler of reports to this host as a keeper.
 func (l *loads) hearReport(body []byte) {
 	var r report
@@ -273,77 +221,6 @@
 	}
 }
 
-// keeper is the service that tells the totals while this host is a keeper.
-type keeper struct{ *loads }
-
-// Serve implements suture.Service.
-func (k keeper) Serve(ctx context.Context) error {
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-k.pending:
-		}
-		if k.primary() {
-			k.tell(k.sum())
-		}
-		sleep(ctx, k.gather())
-	}
-}
-
-func (l *loads) tell(t totals) {
-	l.adopt(t)
-	l.forward(t)
-}
-
-// forward passes totals on to this host's part of the tree.
-func (l *loads) forward(t totals) {
-	to := passOn(l.views.View(), t.Keeper, l.views.Self().Incarnation)
-	if len(to) == 0 {
-		return
-	}
-	data, err := lavdatagram.Encode(lavdatagram.KindTotals, t)
-	if err != nil {
-		l.logger.Error().Err(err).Msg("totals not told")
-		return
-	}
-	l.sendAll(data, to)
-}
-
-// primary reports whether a host takes this one for the first keeper.
-func (l *loads) primary() bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return time.Now().Before(l.primaryUntil)
-}
-
-// sum adds up the reports.
-func (l *loads) sum() totals {
-	now := time.Now()
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	sums := make(map[lavconfig.Life]lavplan.Load)
-	l.totals++
-	t := totals{Keeper: l.views.Self().Incarnation, Number: l.totals}
-	for host, r := range l.reports {
-		age := now.Sub(r.at)
-		if age > reportTimeout {
-			delete(l.reports, host)
-			continue
-		}
-		for _, own := range r.Loads {
-			own.Load.Reading = max(own.Load.Reading-age, 0)
-			sums[own.Life] = sums[own.Life].Plus(own.Load)
-		}
-		t.Paces = append(t.Paces, r.Paces...)
-		t.Counted = append(t.Counted, counted{Host: xxhash.Sum64String(host), Number: r.Number})
-	}
-	for life, load := range sums {
-		t.Loads = append(t.Loads, lifeLoad{Life: life, Load: load})
-	}
-	return t
-}
-
 // hearTotals is the handler of totals.
 func (l *loads) hearTotals(body []byte) {
 	var t totals
--- a/lavhost/peers.go
+++ b/lavhost/peers.go
@@ -68,13 +68,6 @@
 	Settled bool `cbor:"2,keyasint"`
 }
 
-// entries is a peer's answer with all it knows.
-type entries struct {
-	Entries []lavmirror.Entry `cbor:"1,keyasint"`
-	Good    bool              `cbor:"2,keyasint"`
-	Settled bool              `cbor:"3,keyasint"`
-}
-
 // peer is what is known of a peer.
 type peer struct {
 	member lavmember.Member
@@ -300,55 +293,6 @@
 	}
 }
 
-// giveEntries is the mesh's handler of peers that ask what this host knows.
-func (p *peers) giveEntries(context.Context, string, []byte) (any, error) {
-	_, good := p.belief.check()
-	return entries{Entries: p.knowledge.Entries(), Good: good, Settled: p.sureOfStore()}, nil
-}
-
-// compare asks a peer for what it knows, if the peer has known other things for
-// a while or this host may not act on what it knows.
-func (p *peers) compare(ctx context.Context) {
-	era, good := p.belief.check()
-	from, ok := p.teacher(good)
-	if !ok {
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, pullTime)
-	defer cancel()
-	var got entries
-	if err := p.mesh.Call(ctx, from, lavmesh.TopicEntries, struct{}{}, &got); err != nil {
-		p.logger.Warn().Err(err).Str("Peer", from).Msg("entries not had")
-		return
-	}
-	p.knowledge.apply(got.Entries, got.Settled || p.sureOfStore())
-	p.mu.Lock()
-	if known := p.all[from]; known != nil {
-		known.differs = time.Time{}
-	}
-	p.mu.Unlock()
-	if got.Good && p.belief.confirm(era) {
-		p.logger.Info().Str("Peer", from).Msg("knowledge confirmed by a peer")
-	}
-}
-
-// teacher returns a peer that may act on what it knows and, if this host may
-// too, has known other things for a while.
-func (p *peers) teacher(good bool) (string, bool) {
-	now := time.Now()
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for id, known := range p.all {
-		if !known.good || now.Sub(known.heard) > aliveTime {
-			continue
-		}
-		if !good || !known.differs.IsZero() && now.Sub(known.differs) > differTime {
-			return id, true
-		}
-	}
-	return "", false
-}
-
 // sureTime is how long it holds that a peer is sure of the store.
 const sureTime = time.Second
 
--- a/lavplan/place_test.go
+++ b/lavplan/place_test.go
@@ -78,6 +78,28 @@
 	}
 }
 
+// alternating is floods of reviews and of captions by turns, at x times the
+// rates of a calm day.
+func alternating(x float64) []kind {
+	var kinds []kind
+	for i, flood := range [][]kind{reviewFlood, captionFlood, reviewFlood} {
+		from := time.Duration(i) * playLength
+		for _, k := range flood {
+			kinds = append(kinds, k.times(x).between(from, from+playLength))
+		}
+	}
+	return kinds
+}
+
+func TestAlternatingFloods(t *testing.T) {
+	for _, x := range []float64{1, 1.2} {
+		own := mean(Place, worth, alternating(x)...)
+		t.Logf("worth at %.1f: own %.3f", x, own)
+		lavassert.AtLeast(t, "worth against one each", own, mean(oneEach, worth, alternating(x)...))
+		lavassert.AtLeast(t, "worth against thin parts", own, mean(thinParts, worth, alternating(x)...))
+	}
+}
+
 // TestNoKindStarves keeps to the users' gate: no kind is served less than a
 // quarter as often as all.
 func TestNoKindStarves(t *testing.T) {
