--- a/lavhost/entries.go
+++ b/lavhost/entries.go
@@ -10,15 +10,17 @@
 
 // entries is a peer's answer with all it knows.
 type entries struct {
-	Entries []lavmirror.Entry `cbor:"1,keyasint"`
-	Good    bool              `cbor:"2,keyasint"`
-	Settled bool              `cbor:"3,keyasint"`
+	// Packed are the entries as lavmirror packs them.
+	Packed  []byte `cbor:"1,keyasint"`
+	Good    bool   `cbor:"2,keyasint"`
+	Settled bool   `cbor:"3,keyasint"`
 }
 
 // giveEntries is the mesh's handler of peers that ask what this host knows.
 func (p *peers) giveEntries(context.Context, string, []byte) (any, error) {
 	_, good := p.belief.check()
-	return entries{Entries: p.knowledge.Entries(), Good: good, Settled: p.sureOfStore()}, nil
+	packed, err := lavmirror.Pack(p.knowledge.Entries())
+	return entries{Packed: packed, Good: good, Settled: p.sureOfStore()}, err
 }
 
 // compare asks a peer for what it knows, if the peer has known other things for
@@ -36,10 +38,15 @@
 		p.logger.Warn().Err(err).Str("Peer", from).Msg("entries not had")
 		return
 	}
-	p.knowledge.apply(got.Entries, got.Settled || p.sureOfStore())
+	known, err := lavmirror.Unpack(got.Packed)
+	if err != nil {
+		p.logger.Warn().Err(err).Str("Peer", from).Msg("entries not unpacked")
+		return
+	}
+	p.knowledge.apply(known, got.Settled || p.sureOfStore())
 	p.mu.Lock()
-	if known := p.all[from]; known != nil {
-		known.differs = time.Time{}
+	if teacher := p.all[from]; teacher != nil {
+		teacher.differs = time.Time{}
 	}
 	p.mu.Unlock()
 	if got.Good && p.belief.confirm(era) {
--- a/lavhost/peers.go
+++ b/lavhost/peers.go
@@ -63,7 +63,8 @@
 
 // news are entries that have changed.
 type news struct {
-	Entries []lavmirror.Entry `cbor:"1,keyasint"`
+	// Packed are the entries as lavmirror packs them.
+	Packed []byte `cbor:"1,keyasint"`
 	// Settled says that entries that went are gone.
 	Settled bool `cbor:"2,keyasint"`
 }
@@ -282,13 +283,22 @@
 	if err := lavmesh.Decode(body, &n); err != nil {
 		return nil, err
 	}
-	p.knowledge.apply(n.Entries, n.Settled || p.sureOfStore())
+	changed, err := lavmirror.Unpack(n.Packed)
+	if err != nil {
+		return nil, err
+	}
+	p.knowledge.apply(changed, n.Settled || p.sureOfStore())
 	return nil, nil
 }
 
 // tell spreads entries that have changed.
 func (p *peers) tell(changed []lavmirror.Entry, settled bool) {
-	if _, err := p.mesh.Spread(lavmesh.TopicNews, news{Entries: changed, Settled: settled}); err != nil {
+	packed, err := lavmirror.Pack(changed)
+	if err != nil {
+		p.logger.Error().Err(err).Msg("news not packed")
+		return
+	}
+	if _, err := p.mesh.Spread(lavmesh.TopicNews, news{Packed: packed, Settled: settled}); err != nil {
 		p.logger.Warn().Err(err).Msg("news not spread")
 	}
 }
