--- a/lavhost/drain.go
+++ b/lavhost/drain.go
@@ -17,8 +17,9 @@
 	lingerTime = 3 * directoryTTL
 	// drainLook is the time between looks whether the last request has ended.
 	drainLook = 50 * time.Millisecond
-	// streamTime is what a stream is expected to take.
-	streamTime = 4 * time.Second
+	// streamsFor is how long a leaving host takes streams: one that is taken
+	// later may still run as the grace ends.
+	streamsFor = 2500 * time.Millisecond
 )
 
 // drain is a planned stop of the host.
@@ -55,11 +56,10 @@
 	if !d.begun() {
 		return false
 	}
-	need := min(r.Timeout, streamTime)
-	if r.Kind != lavconfig.KindStreaming {
-		need = min(r.Timeout, 2*r.Objective)
+	if r.Kind == lavconfig.KindStreaming {
+		return time.Duration(time.Now().UnixNano()-d.since.Load()) > streamsFor
 	}
-	return d.left() < need
+	return d.left() < r.Timeout
 }
 
 // wait returns once the running requests have ended and no new ones are to be
