--- a/lavhost/directory.go
+++ b/lavhost/directory.go
@@ -15,9 +15,19 @@
 // long.
 const directoryTTL = 1500 * time.Millisecond
 
+// directoryValidity returns the validity of answers under a bound, 0 for none.
+func directoryValidity(bound time.Duration) time.Duration {
+	if bound <= 0 {
+		return directoryTTL
+	}
+	return min(directoryTTL, bound)
+}
+
 // directory tells callers where to connect.
 type directory struct {
 	peers *peers
+	// ttl is the validity of its answers.
+	ttl time.Duration
 }
 
 // ServeHTTP implements http.Handler.
@@ -32,7 +42,7 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	body, err := platform.EncodeDirectory(addresses, directoryTTL)
+	body, err := platform.EncodeDirectory(addresses, d.ttl)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusInternalServerError)
 		return
--- a/lavhost/host.go
+++ b/lavhost/host.go
@@ -130,11 +130,13 @@
 func (h *Host) addIngress() {
 	h.suspects = &suspects{mesh: h.mesh, dial: h.edges.Dial, logger: h.edges.Logger, guard: lavretry.NewGuard()}
 	h.mesh.Handle(lavmesh.TopicQuarantine, h.suspects.hear)
+	relay := lavrelay.New(h.pool, h.fleet, h.belief, h.suspects, h.edges.Logger, h.edges.Scope, rand.Float64)
+	relay.BoundHolds(h.settings.Bounds.LongestHold)
 	h.ingress = &ingress{
 		knowledge: h.knowledge,
 		belief:    h.belief,
 		current:   h.current,
-		relay:     lavrelay.New(h.pool, h.fleet, h.belief, h.suspects, h.edges.Logger, h.edges.Scope, rand.Float64),
+		relay:     relay,
 		drain:     h.drain,
 		logger:    h.edges.Logger,
 	}
@@ -214,7 +216,7 @@
 	}{
 		{"callers", h.settings.Callers, h.ingress},
 		{"readiness", h.settings.Readiness, http.HandlerFunc(h.ready)},
-		{"directory", h.settings.Directory, &directory{peers: h.peers}},
+		{"directory", h.settings.Directory, &directory{peers: h.peers, ttl: directoryValidity(h.settings.Bounds.DirectoryTTL)}},
 		{"peers", h.settings.Peers, mesh},
 	}
 	for _, f := range faces {
--- a/lavhost/ingress.go
+++ b/lavhost/ingress.go
@@ -39,7 +39,6 @@
 	drain   *drain
 	logger  *log.Logger
 	running atomic.Int64
-	served  atomic.Int64
 	// patiences tells callers who come back.
 	patiences patiences
 }
@@ -49,7 +48,6 @@
 	arrived := time.Now()
 	i.running.Add(1)
 	defer i.running.Add(-1)
-	i.served.Add(1)
 	if i.drain.begun() {
 		platform.SetClose(w.Header())
 	}
--- a/lavrelay/relay.go
+++ b/lavrelay/relay.go
@@ -42,6 +42,8 @@
 	logger   *log.Logger
 	draw     func() float64
 	counts   counts
+	// holdFor is the lease of reservations.
+	holdFor time.Duration
 	// running counts the questions and orders that outlive their request.
 	running sync.WaitGroup
 }
@@ -60,6 +62,15 @@
 		logger:   logger,
 		draw:     draw,
 		counts:   newCounts(scope),
+		holdFor:  holdFor,
+	}
+}
+
+// BoundHolds keeps the lease of reservations below the longest that endpoints
+// give, 0 for no bound. It is called before the first request.
+func (r *Relay) BoundHolds(longest time.Duration) {
+	if longest > 0 {
+		r.holdFor = min(holdFor, longest)
 	}
 }
 
--- a/lavrelay/reserve.go
+++ b/lavrelay/reserve.go
@@ -91,7 +91,7 @@
 
 // take reserves, or renews, at one helper.
 func (h *hold) take(ctx context.Context, p reservation) error {
-	body, err := platform.EncodeReserve(p.ticket, p.tokens, holdFor)
+	body, err := platform.EncodeReserve(p.ticket, p.tokens, h.task.relay.holdFor)
 	if err != nil {
 		return lavstep.Wrap(err, lavstep.GangReserve, p.endpoint.ID)
 	}
