--- a/lavrelay/attempt.go
+++ b/lavrelay/attempt.go
@@ -53,7 +53,7 @@
 
 // request returns the request as the chosen endpoint gets it.
 func (t *task) request(c *choice, hold *hold) lavconn.Request {
-	silence, check := t.call.patience()
+	silence, check := t.patience(t.runs + 1)
 	onward := platform.Onward{
 		Customer:  t.call.Customer,
 		Left:      time.Until(t.call.Deadline),
--- a/lavrelay/call.go
+++ b/lavrelay/call.go
@@ -42,12 +42,14 @@
 )
 
 // patience returns how long an endpoint may be silent before the request is
-// taken elsewhere, and before it is looked at; zero if it can't be.
-func (c *Call) patience() (silence, check time.Duration) {
-	if c.Route.Kind != lavconfig.KindStreaming || !c.Route.Repeatable() {
+// taken elsewhere, and before it is looked at; zero if it can't be. Silence alone
+// is no reason to give an answer up.
+func (t *task) patience(runs int) (silence, check time.Duration) {
+	route := t.call.Route
+	if route.Kind != lavconfig.KindStreaming || !route.Repeatable() || runs >= route.MaxAttempts {
 		return 0, 0
 	}
-	longest := c.Prompt.Abandoned().Seconds()
+	longest := t.call.Prompt.Abandoned().Seconds()
 	return seconds(longest * patiencePart), seconds(longest * checkPart)
 }
 
--- a/lavrelay/relay_test.go
+++ b/lavrelay/relay_test.go
@@ -148,6 +148,7 @@
 		{"Resumed", true, []standin.Behaviour{standin.Stream(2), standin.Stream(6)}, false, standin.WholeStream(standin.StreamEvents), 2},
 		{"BrokenTwice", true, []standin.Behaviour{standin.Stream(2), standin.Stream(4), standin.Stream(6)}, true, standin.WholeStream(4), 2},
 		{"NotResumable", false, []standin.Behaviour{standin.Stream(2), standin.Stream(6)}, true, standin.WholeStream(2), 1},
+		{"SilentLast", true, []standin.Behaviour{standin.Cut, slowly(4 * time.Second)}, false, standin.WholeStream(standin.StreamEvents), 2},
 		{"SilentFirst", true, []standin.Behaviour{standin.Silence, standin.Stream(6)}, false, standin.WholeStream(standin.StreamEvents), 2},
 	}
 	for _, test := range tests {
@@ -168,6 +169,14 @@
 	}
 }
 
+// slowly streams whole after a silence.
+func slowly(silence time.Duration) standin.Behaviour {
+	return func(c net.Conn, r *http.Request) {
+		time.Sleep(silence)
+		standin.Stream(standin.StreamEvents)(c, r)
+	}
+}
+
 // TestRetryTime hands each endpoint only what is left of the caller's time.
 func TestRetryTime(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/lavrelay/stream.go
+++ b/lavrelay/stream.go
@@ -23,7 +23,7 @@
 	defer func() { answer.Close(head.KeepIdle) }()
 	// A run that goes on begins with a whole event.
 	t.events.drop()
-	patience, _ := t.call.patience()
+	patience, _ := t.patience(t.runs)
 	buffer := make([]byte, streamBuffer)
 	started := false
 	var before time.Time
