Leave time for three tries of a prompt whose connections are silent

Cause (fault matrix ConnectionSilent, known in one cell and seen in another once beside load): two silent connections of 3 s each take the 6 s of a prompt.

--- a/lavengine/silence.go
+++ b/lavengine/silence.go
@@ -18,6 +18,11 @@
 	// send comment lines while they have nothing else to say; what is silent
 	// for longer has lost its connection, or is found alive by a resume.
 	SilenceBound = 3 * time.Second
+	// silentTries is how many silent connections in a row fit into what is left
+	// of a request's time, and leastSilence the shortest wait for any of them:
+	// twice the time between two comment lines.
+	silentTries  = 3
+	leastSilence = time.Second
 	// uploadRate is the slowest rate in bytes a second at which a prompt is
 	// still expected to arrive.
 	uploadRate = 1 << 20
@@ -28,6 +33,7 @@
 
 // stream opens a stream with open and watches it for silence.
 func (h *HTTP) stream(ctx context.Context, step lavstep.Step, wait time.Duration, id lavrequest.ID, offset int, open func(ctx context.Context) (*http.Response, error)) (Stream, error) {
+	wait = withinDeadline(ctx, wait)
 	ctx, cancel := context.WithCancelCause(ctx)
 	timer := time.AfterFunc(wait, func() { cancel(ErrSilent) })
 	answer, err := open(ctx)
@@ -46,6 +52,16 @@
 	}), nil
 }
 
+// withinDeadline returns how long to wait for an answer to begin, so that others
+// can be tried within the context's deadline.
+func withinDeadline(ctx context.Context, wait time.Duration) time.Duration {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return wait
+	}
+	return min(wait, max(time.Until(deadline)/silentTries, leastSilence))
+}
+
 // silent returns ErrSilent if that is why err came. Other idle connections are
 // closed then, since what has lost track of one may have lost track of all.
 func (h *HTTP) silent(ctx context.Context, step lavstep.Step, err error) error {
