--- a/lavhost/belief.go
+++ b/lavhost/belief.go
@@ -22,10 +22,10 @@
 
 var errUnsure = errors.New("host has not heard what holds since it started or woke")
 
-// Clock returns how long the machine has been suspended since it was booted.
+// Clock returns how long the host has been suspended since it was booted.
 type Clock func() time.Duration
 
-// SuspendedTime is the Clock of a real machine: the time that the boot clock
+// SuspendedTime is the Clock of a real host: the time that the boot clock
 // counts and the steady clock doesn't.
 func SuspendedTime() time.Duration {
 	var boot, steady unix.Timespec
@@ -54,7 +54,7 @@
 	return &belief{clock: clock, suspended: clock(), changed: make(chan struct{})}
 }
 
-// check notices that the machine was frozen or the process stopped, and returns
+// check notices that the host was frozen or the process stopped, and returns
 // the era and whether the belief is good.
 func (b *belief) check() (uint64, bool) {
 	now := time.Now()
--- a/lavrelay/relay.go
+++ b/lavrelay/relay.go
@@ -122,6 +122,7 @@
 			return t.given(ctx, outcome)
 		}
 		if t.arrivals > 0 && !t.relay.fleet.SpendRepeat(t.call.Service) {
+			choice.run.End(lavfleet.VerdictNone)
 			return t.given(ctx, OutcomeBudget)
 		}
 		next := t.attempt(ctx, choice)
--- a/lavrelay/relay_test.go
+++ b/lavrelay/relay_test.go
@@ -94,6 +94,15 @@
 	return out
 }
 
+// isIdle checks that no run is left counted.
+func (b *bench) isIdle(t *testing.T) {
+	t.Helper()
+	board, _ := b.fleet.Board("s", func(lavconfig.Life) bool { return false })
+	for _, c := range board.Candidates {
+		lavassert.True(t, "nothing runs", c.Zero())
+	}
+}
+
 func TestCalls(t *testing.T) {
 	tests := []struct {
 		name       string
@@ -231,6 +240,7 @@
 			b.serve(context.Background(), b.call(lavconfig.KindSafe))
 		}
 		lavassert.AtMost(t, "arrivals", len(b.endpoints.Arrivals()), calls+calls/5+2)
+		b.isIdle(t)
 	})
 }
 
@@ -239,10 +249,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		b := newBench(standin.Stream(2), standin.Cut, standin.Refuse(503))
 		b.serve(context.Background(), b.call(lavconfig.KindStreaming))
-		board, _ := b.fleet.Board("s", func(lavconfig.Life) bool { return false })
-		for _, c := range board.Candidates {
-			lavassert.True(t, "nothing runs", c.Zero())
-		}
+		b.isIdle(t)
 		b.relay.pool.Sweep(func(netip.AddrPort) bool { return false })
 	})
 }
