Close all idle connections to engines when one has gone silent

Cause: each engine incarnation has a pool of its own, and only the pool of the engine that had been silent was emptied. Evidence: in a red run, traced, the prompt met four silent connections in a row, one to each engine, 48.6 s after they had been silenced.

Why it works: the first silent connection empties all pools, so that every further try is on a new connection.

--- a/lavengine/http.go
+++ b/lavengine/http.go
@@ -34,12 +34,14 @@
 type HTTP struct {
 	client *http.Client
 	base   string
+	// dropIdle closes the idle connections that may have gone silent with one.
+	dropIdle func()
 }
 
 // NewHTTP returns the engine at base, such as http://10.0.0.1:8000. The client
 // must not set a timeout, since streams last as long as their answers.
 func NewHTTP(client *http.Client, base string) *HTTP {
-	return &HTTP{client: client, base: base}
+	return &HTTP{client: client, base: base, dropIdle: client.CloseIdleConnections}
 }
 
 // Submit implements Engine.
--- a/lavengine/pin.go
+++ b/lavengine/pin.go
@@ -31,8 +31,13 @@
 // report names the incarnation, and is closed if it is another. A connection
 // ends with the process that it leads to, so that a prompt which was meant for
 // a warm engine never reaches the cold one that has come in its place.
+//
+// Each incarnation has a pool of connections of its own, so that what closes
+// idle connections must do so in all pools: see DropIdle.
 type Pins struct {
-	dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// client is that of the connections which lead to any incarnation.
+	client *http.Client
+	dial   func(ctx context.Context, network, address string) (net.Conn, error)
 
 	mu      sync.Mutex
 	clients map[netip.AddrPort]*pinned
@@ -52,7 +57,7 @@
 	if t, ok := client.Transport.(*http.Transport); ok && t.DialContext != nil {
 		dial = t.DialContext
 	}
-	return &Pins{dial: dial, clients: make(map[netip.AddrPort]*pinned)}
+	return &Pins{client: client, dial: dial, clients: make(map[netip.AddrPort]*pinned)}
 }
 
 // Client returns the client for an engine's incarnation. Clients of an earlier
@@ -83,7 +88,13 @@
 	}
 }
 
-// Close closes all idle connections.
+// DropIdle closes all idle connections, pinned or not.
+func (p *Pins) DropIdle() {
+	p.client.CloseIdleConnections()
+	p.Close()
+}
+
+// Close closes all idle pinned connections.
 func (p *Pins) Close() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -161,11 +172,11 @@
 }
 
 // NewPinned returns the engine at addr, with prompts for that incarnation.
-func NewPinned(client *http.Client, pins *Pins, addr netip.AddrPort, incarnation Incarnation) *Pinned {
+func NewPinned(pins *Pins, addr netip.AddrPort, incarnation Incarnation) *Pinned {
 	base := "http://" + addr.String()
 	return &Pinned{
-		Engine: NewHTTP(client, base),
-		pinned: NewHTTP(pins.Client(time.Now(), addr, incarnation), base),
+		Engine: &HTTP{client: pins.client, base: base, dropIdle: pins.DropIdle},
+		pinned: &HTTP{client: pins.Client(time.Now(), addr, incarnation), base: base, dropIdle: pins.DropIdle},
 	}
 }
 
--- a/lavengine/pin_test.go
+++ b/lavengine/pin_test.go
@@ -34,7 +34,7 @@
 		pins := lavengine.NewPins(client)
 		first := engine.Incarnation()
 		submit := func(id lavrequest.ID) error {
-			e := lavengine.NewPinned(client, pins, pinnedAddr, first)
+			e := lavengine.NewPinned(pins, pinnedAddr, first)
 			s, err := e.Submit(t.Context(), lavengine.Submission{ID: id, Model: "m", Prompt: strings.Repeat("abcd", 10_000), MaxTokens: 4})
 			if err != nil {
 				return err
--- a/lavengine/silence.go
+++ b/lavengine/silence.go
@@ -68,7 +68,7 @@
 	if !errors.Is(context.Cause(ctx), ErrSilent) {
 		return err
 	}
-	h.client.CloseIdleConnections()
+	h.dropIdle()
 	return lavstep.Wrap(errors.Mark(ErrSilent, ErrBroken), step, h.base)
 }
 
--- a/lavnode/requests.go
+++ b/lavnode/requests.go
@@ -77,7 +77,7 @@
 // pinnedEngine returns an engine for prompts that are meant for the
 // incarnation of its last load report.
 func (n *Node) pinnedEngine(e *lavendpoint.Endpoint) lavengine.Engine {
-	return lavengine.NewPinned(n.edges.Client, n.requests.pins, e.Addr, e.Report.Incarnation)
+	return lavengine.NewPinned(n.requests.pins, e.Addr, e.Report.Incarnation)
 }
 
 // nearness divides the endpoints of each failure domain among its hosts. The
