Replace a link between hosts as a call finds it silent

Cause: a call on a silent link waited until its time was over, since silence is found after 6 s only; and a host of the higher incarnation that dialled anew was turned away as one whose dial had crossed another, until the other end had found the silence too. Ruled out: the store (it is up), the view (it is the same on all hosts).

Why it works: after 50 ms without a sign of life a call opens another link, which names the one it replaces and is taken at both ends, and is sent again on it.

--- a/lavcredit/exchange.go
+++ b/lavcredit/exchange.go
@@ -304,7 +304,7 @@
 	now := time.Now()
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	if request.Number <= x.last[from] {
+	if request.Number < x.last[from] {
 		return Reply{}, lavstep.Wrap(errStale, lavstep.CreditGrant, from)
 	}
 	x.last[from] = request.Number
--- a/lavmesh/dial.go
+++ b/lavmesh/dial.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"encoding/json"
 	"net/http"
 	"net/netip"
@@ -17,8 +18,15 @@
 // subprotocol names the message format in the WebSocket handshake.
 const subprotocol = "lavenderrack.mesh.v1"
 
-// headerMember holds, in both directions of the handshake, who the end is.
-const headerMember = "Lav-Mesh-Member"
+// Headers of the handshake.
+const (
+	// headerMember holds, in both directions, who the end is.
+	headerMember = "Lav-Mesh-Member"
+	// headerLink names the new link, and headerReplaces the one before it, if
+	// the dialler had one.
+	headerLink     = "Lav-Mesh-Link"
+	headerReplaces = "Lav-Mesh-Replaces"
+)
 
 // errNoMember means that a call names a member that the view doesn't hold.
 var errNoMember = errors.New("no such member")
@@ -43,9 +51,21 @@
 			l.close()
 		}
 	}
+	m.forget()
 	m.traffic.links.Update(float64(len(m.links)))
 }
 
+// forget drops the ids of the last links to those that are no members any more.
+// The caller holds the lock.
+func (m *Mesh) forget() {
+	view := m.views.View()
+	for peer := range m.former {
+		if _, ok := view.Member(peer); !ok && m.links[peer] == nil {
+			delete(m.former, peer)
+		}
+	}
+}
+
 // absent returns the neighbours that are left out of the view for now.
 func (m *Mesh) absent() []lavmember.Member {
 	views, ok := m.views.(Introducer)
@@ -126,9 +146,10 @@
 	if err != nil {
 		return lavstep.Wrap(err, lavstep.MeshDial, peer.Host)
 	}
+	h := handshake{peer: peer.Incarnation, dialler: self.Incarnation, id: rand.Text(), replaces: m.formerLink(peer.Incarnation)}
 	conn, answer, err := websocket.Dial(ctx, m.target(peer.Mesh), &websocket.DialOptions{
 		HTTPClient:   m.clientFor(peer),
-		HTTPHeader:   http.Header{headerMember: {string(header)}},
+		HTTPHeader:   http.Header{headerMember: {string(header)}, headerLink: {h.id}, headerReplaces: {h.replaces}},
 		Subprotocols: []string{subprotocol},
 	})
 	if err != nil {
@@ -140,7 +161,8 @@
 		_ = conn.CloseNow()
 		return lavstep.Wrap(err, lavstep.MeshDial, peer.Host)
 	}
-	m.start(met, newLink(met.Incarnation, self.Incarnation, conn, m.traffic, m.pace))
+	h.peer = met.Incarnation
+	m.start(met, newLink(h, conn, m.traffic, m.pace))
 	if met.Incarnation != peer.Incarnation {
 		// Another process has taken the address over; the one asked for is
 		// gone.
@@ -204,7 +226,12 @@
 	if err != nil {
 		return
 	}
-	l := newLink(peer.Incarnation, peer.Incarnation, conn, m.traffic, m.pace)
+	l := newLink(handshake{
+		peer:     peer.Incarnation,
+		dialler:  peer.Incarnation,
+		id:       r.Header.Get(headerLink),
+		replaces: r.Header.Get(headerReplaces),
+	}, conn, m.traffic, m.pace)
 	if !m.attach(l) {
 		l.close()
 		return
@@ -221,16 +248,32 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	old := m.links[l.peer]
-	if old != nil && !old.closed() && old.dialler == min(self, l.peer) && l.dialler != old.dialler {
+	if old != nil && !old.closed() && crossed(old, l, self) {
 		return false
 	}
 	if old != nil {
 		old.close()
 	}
 	m.links[l.peer] = l
+	m.former[l.peer] = l.id
 	return true
 }
 
+// crossed reports whether a pair of members opened both links at one time and
+// the older one is that of the lower incarnation. A link whose dialler knew the
+// older one did not cross it.
+func crossed(old, l *link, self string) bool {
+	knew := l.replaces != "" && l.replaces == old.id
+	return !knew && old.dialler == min(self, l.peer) && l.dialler != old.dialler
+}
+
+// formerLink returns the id of the last link to a peer, or "" if there was none.
+func (m *Mesh) formerLink(peer string) string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.former[peer]
+}
+
 func (m *Mesh) run(l *link) {
 	l.run(m.context(), func(msg message) { m.receive(l, msg) })
 	m.mu.Lock()
--- a/lavmesh/link.go
+++ b/lavmesh/link.go
@@ -26,11 +26,20 @@
 	Tend time.Duration
 	// Dial bounds the opening of a link.
 	Dial time.Duration
+	// Doubt is how long a call waits on a link from which nothing comes before
+	// another link is opened in its place. Zero is for ever.
+	Doubt time.Duration
 }
 
 // DefaultPace suits fleets whose store settles who is alive.
 func DefaultPace() Pace {
-	return Pace{Ping: 2 * time.Second, Silence: 6 * time.Second, Tend: time.Second, Dial: 2 * time.Second}
+	return Pace{
+		Ping:    2 * time.Second,
+		Silence: 6 * time.Second,
+		Tend:    time.Second,
+		Dial:    2 * time.Second,
+		Doubt:   50 * time.Millisecond,
+	}
 }
 
 // errLinkDown means that the connection ended before the reply came.
@@ -39,10 +48,17 @@
 // maxAnswering bounds the calls of one peer that are answered at a time.
 const maxAnswering = 64
 
+// tripsToDoubt is how many times as long as usual a reply may take before its
+// link is doubted.
+const tripsToDoubt = 4
+
 // link is one connection to one peer.
 type link struct {
 	peer string
-	at   position
+	// id names the link at both ends, and replaces is the one before it.
+	id       string
+	replaces string
+	at       position
 	// dialler is the incarnation of the end that opened the connection.
 	dialler string
 	conn    *websocket.Conn
@@ -60,24 +76,39 @@
 	// came.
 	used  time.Time
 	heard time.Time
+	// trip is how long replies have taken of late.
+	trip time.Duration
+	// doubted is when another link was last opened in this one's place.
+	doubted time.Time
+}
+
+// handshake is what both ends know of a link as it is opened.
+type handshake struct {
+	peer    string
+	dialler string
+	// id names the link, and replaces the last one of the dialler to that peer.
+	id       string
+	replaces string
 }
 
-func newLink(peer, dialler string, conn *websocket.Conn, t *traffic, pace Pace) *link {
+func newLink(h handshake, conn *websocket.Conn, t *traffic, pace Pace) *link {
 	conn.SetReadLimit(MaxMessageBytes)
 	now := time.Now()
 	return &link{
-		peer:    peer,
-		at:      positionOf(peer),
-		dialler: dialler,
-		conn:    conn,
-		traffic: t,
-		pace:    pace,
-		answers: make(chan struct{}, maxAnswering),
-		out:     make(chan message, queueLength),
-		done:    make(chan struct{}),
-		calls:   make(map[uint64]chan message),
-		used:    now,
-		heard:   now,
+		peer:     h.peer,
+		id:       h.id,
+		replaces: h.replaces,
+		at:       positionOf(h.peer),
+		dialler:  h.dialler,
+		conn:     conn,
+		traffic:  t,
+		pace:     pace,
+		answers:  make(chan struct{}, maxAnswering),
+		out:      make(chan message, queueLength),
+		done:     make(chan struct{}),
+		calls:    make(map[uint64]chan message),
+		used:     now,
+		heard:    now,
 	}
 }
 
@@ -132,38 +163,60 @@
 	})
 }
 
-// call sends m and waits for the reply.
-func (l *link) call(ctx context.Context, m message) (message, error) {
+// call sends m and waits for the reply. Doubt is called when nothing has come
+// from the peer for longer than replies usually take.
+func (l *link) call(ctx context.Context, m message, doubt func()) (message, error) {
 	reply := make(chan message, 1)
 	sent := time.Now()
-	l.mu.Lock()
-	l.used = sent
-	l.next++
-	m.Call = l.next
-	l.calls[m.Call] = reply
-	l.mu.Unlock()
-	defer func() {
-		l.mu.Lock()
-		delete(l.calls, m.Call)
-		l.mu.Unlock()
-	}()
+	l.begin(&m, reply, sent)
+	defer l.end(m.Call)
 	if !l.offer(m) {
 		return message{}, lavstep.Errorf(lavstep.MeshSend, l.peer, "queue of %d messages is full", queueLength)
 	}
-	select {
-	case got := <-reply:
-		return got, nil
-	case <-l.done:
-		return message{}, lavstep.Wrap(errLinkDown, lavstep.MeshReceive, l.peer)
-	case <-ctx.Done():
-		if l.silentSince(sent) {
-			// The next call dials anew.
-			l.close()
+	patience := l.patience()
+	var quiet <-chan time.Time
+	if patience > 0 {
+		tick := time.NewTicker(patience)
+		defer tick.Stop()
+		quiet = tick.C
+	}
+	for {
+		select {
+		case got := <-reply:
+			l.took(time.Since(sent))
+			return got, nil
+		case <-l.done:
+			return message{}, lavstep.Wrap(errLinkDown, lavstep.MeshReceive, l.peer)
+		case <-quiet:
+			if l.doubtful(patience) {
+				doubt()
+			}
+		case <-ctx.Done():
+			if l.silentSince(sent) {
+				// The next call dials anew.
+				l.close()
+			}
+			return message{}, lavstep.Wrap(ctx.Err(), lavstep.MeshReceive, l.peer)
 		}
-		return message{}, lavstep.Wrap(ctx.Err(), lavstep.MeshReceive, l.peer)
 	}
 }
 
+// begin numbers a call and registers who waits for its reply.
+func (l *link) begin(m *message, reply chan message, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.used = now
+	l.next++
+	m.Call = l.next
+	l.calls[m.Call] = reply
+}
+
+func (l *link) end(call uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.calls, call)
+}
+
 // settle hands a reply to the call that waits for it, if one still does.
 func (l *link) settle(m message) {
 	l.mu.Lock()
--- a/lavmesh/mesh.go
+++ b/lavmesh/mesh.go
@@ -55,7 +55,10 @@
 	handlers map[Topic]Handler
 	links    map[string]*link
 	dialling map[string]chan struct{}
-	seen     *seen
+	// former is the id of the newest link to each peer, whether it stands or
+	// not.
+	former map[string]string
+	seen   *seen
 	// number counts the messages to all that this host has begun.
 	number uint64
 	// running counts the goroutines of links.
@@ -75,6 +78,7 @@
 		handlers: make(map[Topic]Handler),
 		links:    make(map[string]*link),
 		dialling: make(map[string]chan struct{}),
+		former:   make(map[string]string),
 		seen:     newSeen(),
 		ctx:      ctx,
 		cancel:   cancel,
@@ -184,7 +188,11 @@
 }
 
 func (m *Mesh) answer(l *link, msg message, handler Handler) {
-	out, err := handler(m.context(), l.peer, msg.Body)
+	ctx, cancel := context.WithCancel(m.context())
+	defer cancel()
+	stop := m.whileBusy(ctx, l)
+	defer stop()
+	out, err := handler(ctx, l.peer, msg.Body)
 	reply := message{Version: version, Topic: msg.Topic, Call: msg.Call, Reply: true}
 	if err == nil {
 		reply.Body, err = cbor.Marshal(out)
@@ -196,20 +204,17 @@
 }
 
 // Call asks a peer and decodes its reply into out. It opens a link if there is
-// none.
+// none, and another if the one there is goes silent: the peer may then get the
+// call twice, so that its handler must bear that.
 func (m *Mesh) Call(ctx context.Context, peer string, topic Topic, in, out any) error {
 	if err := lavstep.Reach(ctx, lavstep.MeshSend, peer); err != nil {
 		return err
 	}
-	l, err := m.reach(ctx, peer)
-	if err != nil {
-		return err
-	}
 	data, err := cbor.Marshal(in)
 	if err != nil {
 		return lavstep.Wrap(err, lavstep.MeshSend, peer)
 	}
-	reply, err := l.call(ctx, message{Version: version, Topic: topic, Body: data})
+	reply, err := m.ask(ctx, peer, message{Version: version, Topic: topic, Body: data})
 	if err != nil {
 		return err
 	}
--- a/lavmesh/traffic.go
+++ b/lavmesh/traffic.go
@@ -10,6 +10,7 @@
 	sent, sentBytes         tally.Counter
 	received, receivedBytes tally.Counter
 	dropped, malformed      tally.Counter
+	replaced                tally.Counter
 	links                   tally.Gauge
 }
 
@@ -22,6 +23,7 @@
 		receivedBytes: s.Counter("received_bytes"),
 		dropped:       s.Counter("dropped"),
 		malformed:     s.Counter("malformed"),
+		replaced:      s.Counter("replaced"),
 		links:         s.Gauge("links"),
 	}
 }
