Let two hosts keep each fingerprint

What callers saw: a prompt that crashes engines killed three of them when it came again just after an entry host's restart (TestMatrix/CrashRequestResent/MemberLeave).

Cause: its one owner by rendezvous hash was the process that had just started, which knew of no run that the owner before it had let begin.

Why it works: two hosts are asked, and a run begins only if neither forbids it. Any single host that comes or goes leaves one of the two in place (TestDeputy). A host that reaches no keeper lets no suspect run. TestNewKeeper, TestNewKeeperAndRunningPrompts and TestCutOffHost fail with one owner.

--- a/lavmember/owner.go
+++ b/lavmember/owner.go
@@ -8,12 +8,34 @@
 // empty view. Two hosts with the same view name the same owner, and a member
 // that comes or goes moves only what it owns itself.
 func Owner(v *View, name string) (Member, bool) {
+	return first(v, name, func(*Member) bool { return true })
+}
+
+// Deputy returns the member that keeps the thing of that name beside its owner.
+// It is the next one by weight in another failure domain, or the next one of all
+// if there is no other failure domain. Whichever single member comes or goes, and
+// whichever failure domain is lost, one of the two before is one of the two after.
+func Deputy(v *View, name string) (Member, bool) {
+	owner, ok := Owner(v, name)
+	if !ok {
+		return Member{}, false
+	}
+	deputy, ok := first(v, name, func(m *Member) bool { return m.FailureDomain != owner.FailureDomain })
+	if ok {
+		return deputy, true
+	}
+	return first(v, name, func(m *Member) bool { return m.Incarnation != owner.Incarnation })
+}
+
+// first returns the member with the highest weight among those that may be
+// chosen and don't leave, or among all that may be if each of them leaves.
+func first(v *View, name string, may func(*Member) bool) (Member, bool) {
 	best, found := 0, false
 	top := uint64(0)
 	for _, leaving := range []bool{false, true} {
 		for i := range v.Members {
 			m := &v.Members[i]
-			if m.Leaving != leaving {
+			if m.Leaving != leaving || !may(m) {
 				continue
 			}
 			if w := weight(m.Incarnation, name); !found || w > top {
--- a/lavmember/owner_test.go
+++ b/lavmember/owner_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	"lavenderrack.example/lavenderrack/lavassert"
@@ -68,3 +69,58 @@
 		lavassert.Equal(t, "a stranger's rank", lavmember.Rank(v, "watch", "nobody"), -1)
 	})
 }
+
+// pairOf returns the owner and the deputy of a thing.
+func pairOf(t *testing.T, v *lavmember.View, name string) [2]lavmember.Member {
+	t.Helper()
+	owner, ok := lavmember.Owner(v, name)
+	lavassert.True(t, "an owner is found", ok)
+	deputy, ok := lavmember.Deputy(v, name)
+	lavassert.True(t, "a deputy is found", ok)
+	return [2]lavmember.Member{owner, deputy}
+}
+
+// viewIn returns n members, in that many failure domains by turns.
+func viewIn(n, domains int) *lavmember.View {
+	v := viewOf(n)
+	for i := range v.Members {
+		v.Members[i].FailureDomain = fmt.Sprint("domain-", i%domains)
+	}
+	return v
+}
+
+// without returns the view without one member.
+func without(v *lavmember.View, gone int) *lavmember.View {
+	return &lavmember.View{Members: slices.Delete(slices.Clone(v.Members), gone, gone+1)}
+}
+
+func TestDeputy(t *testing.T) {
+	t.Run("is in another failure domain, if there is one", func(t *testing.T) {
+		for i := range 200 {
+			name := fmt.Sprint("thing-", i)
+			pair := pairOf(t, viewIn(6, 3), name)
+			lavassert.True(t, "another failure domain", pair[0].FailureDomain != pair[1].FailureDomain)
+			pair = pairOf(t, viewIn(6, 1), name)
+			lavassert.True(t, "another member", pair[0].Incarnation != pair[1].Incarnation)
+		}
+	})
+	t.Run("a lone member has none", func(t *testing.T) {
+		_, ok := lavmember.Deputy(viewOf(1), "thing")
+		lavassert.True(t, "no deputy", !ok)
+	})
+	// What the two know is lost only if both are replaced at one time.
+	t.Run("one of the two stays as a member comes or goes", func(t *testing.T) {
+		for _, domains := range []int{1, 2, 3, 7} {
+			v := viewIn(7, domains)
+			for i := range 200 {
+				name := fmt.Sprint("thing-", i)
+				with := pairOf(t, v, name)
+				for gone := range v.Members {
+					after := pairOf(t, without(v, gone), name)
+					stays := slices.ContainsFunc(with[:], func(m lavmember.Member) bool { return slices.Contains(after[:], m) })
+					lavassert.True(t, fmt.Sprintf("%s without %d in %d failure domains", name, gone, domains), stays)
+				}
+			}
+		}
+	})
+}
--- a/lavnode/callspeers.go
+++ b/lavnode/callspeers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"time"
 
 	"lavenderrack.example/lavenderrack/lavledger"
@@ -152,9 +153,27 @@
 // suspectPeers implements lavretry.Peers over the mesh.
 type suspectPeers struct{ *calls }
 
-// Owner implements lavretry.Peers.
-func (p suspectPeers) Owner(fingerprint uint64) string {
-	return p.node.owner(fmt.Sprint("fingerprint/", fingerprint))
+// keepersOf returns the incarnations of the hosts that keep a fingerprint.
+func keepersOf(view *lavmember.View, fingerprint uint64) []string {
+	name := fmt.Sprint("fingerprint/", fingerprint)
+	var keepers []string
+	if owner, ok := lavmember.Owner(view, name); ok {
+		keepers = append(keepers, owner.Incarnation)
+	}
+	if deputy, ok := lavmember.Deputy(view, name); ok {
+		keepers = append(keepers, deputy.Incarnation)
+	}
+	return keepers
+}
+
+// Keepers implements lavretry.Peers.
+func (p suspectPeers) Keepers(fingerprint uint64) lavretry.Keepers {
+	self := p.node.members.Self().Incarnation
+	keepers := keepersOf(p.node.members.View(), fingerprint)
+	return lavretry.Keepers{
+		Self:  slices.Contains(keepers, self),
+		Peers: slices.DeleteFunc(keepers, func(k string) bool { return k == self }),
+	}
 }
 
 // Begin implements lavretry.Peers.
--- a/lavretry/suspects.go
+++ b/lavretry/suspects.go
@@ -13,7 +13,7 @@
 
 // Times and bounds of sharing.
 const (
-	// askTimeout bounds the wait for a fingerprint's owner; past it the host
+	// askTimeout bounds the wait for a fingerprint's keepers; past it the host
 	// decides by what it knows itself.
 	askTimeout = 150 * time.Millisecond
 	flushEvery = 200 * time.Millisecond
@@ -25,9 +25,8 @@
 
 // Peers reaches the suspects of other hosts.
 type Peers interface {
-	// Owner returns the peer that decides on a fingerprint, or "" for this
-	// host.
-	Owner(fingerprint uint64) string
+	// Keepers returns the hosts that decide on a fingerprint.
+	Keepers(fingerprint uint64) Keepers
 	// Begin asks a peer whether a run may begin.
 	Begin(ctx context.Context, peer string, r Run) (Verdict, error)
 	// End tells a peer that a run has ended.
@@ -41,8 +40,8 @@
 // Alone is the Peers of a host without others.
 type Alone struct{}
 
-// Owner implements Peers.
-func (Alone) Owner(uint64) string { return "" }
+// Keepers implements Peers.
+func (Alone) Keepers(uint64) Keepers { return Keepers{Self: true} }
 
 // Begin implements Peers.
 func (Alone) Begin(context.Context, string, Run) (Verdict, error) { return Verdict{}, nil }
@@ -65,11 +64,13 @@
 	guard     *Guard
 	unwritten []Death
 	doubts    []doubt
+	// asked are the peers that know of each run which this host has begun.
+	asked map[string]asked
 }
 
 // NewSuspects returns the suspects of a host.
 func NewSuspects(store lavstore.Store, peers Peers) *Suspects {
-	return &Suspects{peers: peers, store: store, guard: NewGuard()}
+	return &Suspects{peers: peers, store: store, guard: NewGuard(), asked: make(map[string]asked)}
 }
 
 // Check returns the verdict on a fingerprint as far as this host knows.
@@ -79,30 +80,24 @@
 	return s.guard.Check(time.Now(), fingerprint)
 }
 
-// Begin asks whether a run may begin. This host's own guard is asked first,
-// then the fingerprint's owner; if the owner doesn't answer, the own guard's
-// word holds, which bounds the runs of each host but not of all.
+// Begin asks whether a run may begin: first this host's own guard, then the
+// keepers of the fingerprint.
 func (s *Suspects) Begin(ctx context.Context, r Run) Verdict {
 	if lavstep.Reach(ctx, lavstep.SuspectBegin, r.Endpoint) != nil {
 		return Verdict{Action: ActionWait}
 	}
 	s.settle(ctx, func(d doubt) bool { return d.run.Fingerprint == r.Fingerprint })
 	own := s.BeginHere(r)
-	owner := s.peers.Owner(r.Fingerprint)
-	if owner == "" || own.Action == ActionWait || own.Action == ActionRefuse {
+	if own.Action.forbids() {
 		return own
 	}
-	ask, cancel := context.WithTimeout(ctx, askTimeout)
-	defer cancel()
-	verdict, err := s.peers.Begin(ask, owner, r)
-	if err != nil {
-		return own
-	}
-	if verdict.Action == ActionWait || verdict.Action == ActionRefuse {
-		s.EndHere(r, false)
-		return verdict
+	keepers := s.peers.Keepers(r.Fingerprint)
+	s.noteAsked(r, keepers.Peers)
+	verdict := keepers.decide(own, s.askAll(ctx, keepers, r))
+	if verdict.Action.forbids() {
+		s.End(r, false)
 	}
-	return Verdict{Action: max(own.Action, verdict.Action)}
+	return verdict
 }
 
 // BeginHere asks this host's own guard, for itself or a peer.
@@ -115,8 +110,8 @@
 // End ends a run that was allowed to begin.
 func (s *Suspects) End(r Run, finished bool) {
 	s.EndHere(r, finished)
-	if owner := s.peers.Owner(r.Fingerprint); owner != "" {
-		s.peers.End(owner, r, finished)
+	for _, peer := range s.whoKnows(r) {
+		s.peers.End(peer, r, finished)
 	}
 }
 
@@ -141,8 +136,8 @@
 	// The death is known before the run ends, so that no other run of the
 	// fingerprint takes the free place.
 	s.EndHere(r, false)
-	if owner := s.peers.Owner(d.Fingerprint); owner != "" {
-		s.peers.Die(owner, r, d)
+	for _, peer := range s.whoKnows(r) {
+		s.peers.Die(peer, r, d)
 	}
 }
 
@@ -169,6 +164,7 @@
 			s.settle(ctx, func(doubt) bool { return true })
 			s.flush(ctx)
 		case <-read.C:
+			s.forgetAsked()
 			s.read(ctx)
 		}
 	}
--- a/lavretry/suspects_test.go
+++ b/lavretry/suspects_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"strconv"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -17,44 +18,63 @@
 	"github.com/cockroachdb/errors"
 )
 
-// mesh joins the suspects of some hosts; the first owns every fingerprint.
+// mesh joins the suspects of some hosts.
 type mesh struct {
 	hosts []*lavretry.Suspects
-	// cut keeps everyone from the owner; deaf loses what is spread.
+	// keepers says which two hosts keep every fingerprint at a time.
+	keepers func() [2]int
+	// cut keeps everyone from the keepers; deaf loses what is spread.
 	cut, deaf bool
 }
 
+// firstTwo are keepers that stay.
+func firstTwo() [2]int { return [2]int{0, 1} }
+
 // peer is a host's view of the mesh.
 type peer struct {
 	self int
 	mesh *mesh
 }
 
-func (p *peer) Owner(uint64) string {
-	if p.self == 0 {
-		return ""
+func (p *peer) Keepers(uint64) lavretry.Keepers {
+	var keepers lavretry.Keepers
+	for _, i := range p.mesh.keepers() {
+		if i == p.self {
+			keepers.Self = true
+		} else {
+			keepers.Peers = append(keepers.Peers, fmt.Sprint(i))
+		}
 	}
-	return "0"
+	return keepers
 }
 
-func (p *peer) Begin(_ context.Context, _ string, r lavretry.Run) (lavretry.Verdict, error) {
+// host returns the suspects of the host of that name.
+func (m *mesh) host(name string) *lavretry.Suspects {
+	i, err := strconv.Atoi(name)
+	if err != nil {
+		panic(err)
+	}
+	return m.hosts[i]
+}
+
+func (p *peer) Begin(_ context.Context, peer string, r lavretry.Run) (lavretry.Verdict, error) {
 	if p.mesh.cut {
 		return lavretry.Verdict{}, errors.New("link is down")
 	}
 	time.Sleep(10 * time.Millisecond)
-	return p.mesh.hosts[0].BeginHere(r), nil
+	return p.mesh.host(peer).BeginHere(r), nil
 }
 
-func (p *peer) End(_ string, r lavretry.Run, finished bool) {
+func (p *peer) End(peer string, r lavretry.Run, finished bool) {
 	if !p.mesh.cut {
-		p.mesh.hosts[0].EndHere(r, finished)
+		p.mesh.host(peer).EndHere(r, finished)
 	}
 }
 
-func (p *peer) Die(_ string, r lavretry.Run, d lavretry.Death) {
+func (p *peer) Die(peer string, r lavretry.Run, d lavretry.Death) {
 	if !p.mesh.cut {
-		p.mesh.hosts[0].Hear(d)
-		p.mesh.hosts[0].EndHere(r, false)
+		p.mesh.host(peer).Hear(d)
+		p.mesh.host(peer).EndHere(r, false)
 	}
 }
 
@@ -66,6 +86,15 @@
 	}
 }
 
+// newMesh returns the mesh of some hosts.
+func newMesh(m mesh, count int) *mesh {
+	store := lavfake.NewStore()
+	for i := range count {
+		m.hosts = append(m.hosts, lavretry.NewSuspects(store, &peer{self: i, mesh: &m}))
+	}
+	return &m
+}
+
 // fleet counts the deaths of endpoints.
 type fleet struct {
 	mu     sync.Mutex
@@ -103,12 +132,9 @@
 )
 
 // assault sends one request again and again at every host at the same time.
-func assault(t *testing.T, m *mesh, seed uint64, kills bool) *fleet {
+func assault(t *testing.T, of mesh, seed uint64, kills bool) *fleet {
 	t.Helper()
-	store := lavfake.NewStore()
-	for i := range hosts {
-		m.hosts = append(m.hosts, lavretry.NewSuspects(store, &peer{self: i, mesh: m}))
-	}
+	m := newMesh(of, hosts)
 	f := &fleet{lives: make(map[string]int)}
 	var callers sync.WaitGroup
 	for i := range 3 * hosts {
@@ -138,16 +164,16 @@
 		mesh  mesh
 		bound int
 	}{
-		{"all is well", mesh{}, lavretry.MaxDeaths},
-		{"deaths reach the owner only", mesh{deaf: true}, lavretry.MaxDeaths},
-		{"no host reaches another", mesh{cut: true}, hosts * lavretry.MaxDeaths},
+		{"all is well", mesh{keepers: firstTwo}, lavretry.MaxDeaths},
+		{"deaths reach the keepers only", mesh{keepers: firstTwo, deaf: true}, lavretry.MaxDeaths},
+		{"one keeper after the other is another host", mesh{keepers: byTurns}, lavretry.MaxDeaths},
+		{"no host reaches another", mesh{keepers: firstTwo, cut: true}, hosts * lavretry.MaxDeaths},
 	}
 	for _, c := range bounds {
 		t.Run(c.name, func(t *testing.T) {
 			for seed := range uint64(8) {
 				synctest.Test(t, func(t *testing.T) {
-					m := c.mesh
-					f := assault(t, &m, seed, true)
+					f := assault(t, c.mesh, seed, true)
 					t.Logf("seed %d: %d runs, %d deaths", seed, f.ended, f.deaths)
 					lavassert.AtMost(t, "deaths", f.deaths, c.bound)
 					lavassert.AtLeast(t, "deaths", f.deaths, 1)
@@ -157,9 +183,75 @@
 	}
 }
 
+// byTurns are keepers of which one is replaced each 250 ms.
+func byTurns() [2]int {
+	turn := int(time.Now().UnixMilli() / 250)
+	return [2]int{turn % hosts, (turn + 1) % hosts}
+}
+
+// TestNewKeeper guards against a host that has just become a keeper, and knows
+// nothing yet, letting a prompt run that has killed as many engines as it may.
+func TestNewKeeper(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		keepers := [2]int{0, 1}
+		m := newMesh(mesh{keepers: func() [2]int { return keepers }, deaf: true}, 4)
+		killed := func(id, endpoint string) {
+			r := run(id, endpoint)
+			r.Until = time.Now().Add(time.Minute)
+			lavassert.True(t, "may run", m.hosts[2].Begin(t.Context(), r).Action < lavretry.ActionWait)
+			m.hosts[2].Die(t.Context(), r, death(endpoint))
+		}
+		killed("1", "a")
+		killed("2", "b")
+		keepers = [2]int{3, 0}
+		for i, h := range m.hosts {
+			r := run(fmt.Sprint("later at ", i), "c")
+			lavassert.Equal(t, "action at "+fmt.Sprint(i), h.Begin(t.Context(), r).Action, lavretry.ActionRefuse)
+		}
+	})
+}
+
+// TestNewKeeperAndRunningPrompts is the same while the two still run, so that no
+// death could have been told.
+func TestNewKeeperAndRunningPrompts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		keepers := [2]int{0, 1}
+		m := newMesh(mesh{keepers: func() [2]int { return keepers }}, 4)
+		at := func(host int, id, endpoint string, want lavretry.Action) lavretry.Run {
+			t.Helper()
+			r := run(id, endpoint)
+			r.Until = time.Now().Add(time.Minute)
+			lavassert.Equal(t, "action of "+id, m.hosts[host].Begin(t.Context(), r).Action, want)
+			return r
+		}
+		first := at(2, "1", "a", lavretry.ActionGo)
+		at(2, "2", "b", lavretry.ActionGo)
+		keepers = [2]int{3, 0}
+		at(3, "3", "c", lavretry.ActionWait)
+		at(1, "4", "c", lavretry.ActionWait)
+		// The keeper of before hears of the end too, and so may be one again.
+		m.hosts[2].End(first, false)
+		keepers = [2]int{1, 3}
+		at(1, "5", "c", lavretry.ActionGo)
+	})
+}
+
+// TestCutOffHost guards against a host that reaches no keeper letting a suspect
+// run: it knows of one death and may have missed another.
+func TestCutOffHost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMesh(mesh{keepers: firstTwo, cut: true}, 3)
+		m.hosts[2].Hear(death("a"))
+		lavassert.Equal(t, "a suspect", m.hosts[2].Begin(t.Context(), run("1", "b")).Action, lavretry.ActionWait)
+		innocent := run("2", "b")
+		innocent.Fingerprint = 2
+		lavassert.Equal(t, "one that is none", m.hosts[2].Begin(t.Context(), innocent).Action, lavretry.ActionGo)
+	})
+}
+
 func TestInnocentsClear(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := assault(t, &mesh{}, 1, false)
+		f := assault(t, mesh{keepers: firstTwo}, 1, false)
 		// What waits for the first good end is a few tries of the first ones.
 		lavassert.AtLeast(t, "answers", f.ended, 3*hosts*resends*9/10)
 	})
