Hand what is known of a fingerprint to its new keepers

Why it works: as the view changes, which it does at a leaving host at once, a host tells the hosts that have become keepers what it knows. TestLeavingKeeper fails without it.

--- a/lavnode/calls.go
+++ b/lavnode/calls.go
@@ -83,6 +83,7 @@
 func (c *calls) add(tree *suture.Supervisor) {
 	tree.Add(c.ledger)
 	tree.Add(c.suspects)
+	tree.Add(service{name: "hand suspects over", run: c.handSuspectsOver})
 	tree.Add(c.outbox)
 	tree.Add(c.departed)
 	tree.Add(c.sweeper)
--- a/lavnode/callspeers.go
+++ b/lavnode/callspeers.go
@@ -124,12 +124,13 @@
 	})
 }
 
-// suspectAsk tells of a run, its end, or a death.
+// suspectAsk tells of a run, its end, a death, or all that a keeper knows.
 type suspectAsk struct {
 	Begin    *lavretry.Run
 	End      *lavretry.Run
 	Finished bool
 	Death    *lavretry.Death
+	Known    []lavretry.Known `cbor:",omitempty"`
 }
 
 func (c *calls) hearSuspect(_ context.Context, _ string, body []byte) (any, error) {
@@ -144,6 +145,7 @@
 	if ask.End != nil {
 		c.suspects.EndHere(*ask.End, ask.Finished)
 	}
+	c.suspects.Take(ask.Known)
 	if ask.Begin != nil {
 		verdict = c.suspects.BeginHere(*ask.Begin)
 	}
@@ -200,6 +202,36 @@
 	_, _ = p.node.mesh.Spread(lavmesh.TopicQuarantine, suspectAsk{Death: &d})
 }
 
+// Tell implements lavretry.Peers.
+func (p suspectPeers) Tell(peer string, known []lavretry.Known) {
+	p.outbox.offer(letter{peer: peer, topic: lavmesh.TopicQuarantine, body: suspectAsk{Known: known}})
+}
+
+// handSuspectsOver tells new keepers, as the view changes, what this host knows of
+// the fingerprints that it kept before.
+func (c *calls) handSuspectsOver(ctx context.Context) error {
+	members := c.node.members
+	self := members.Self().Incarnation
+	before := members.View()
+	for {
+		changed := members.Changed()
+		now := members.View()
+		c.suspects.HandOver(func(fingerprint uint64) []string {
+			had := keepersOf(before, fingerprint)
+			if !slices.Contains(had, self) {
+				return nil
+			}
+			return slices.DeleteFunc(keepersOf(now, fingerprint), func(k string) bool { return slices.Contains(had, k) })
+		})
+		before = now
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-changed:
+		}
+	}
+}
+
 // ownerAsk asks a host to hand a stream over, or which streams it claims.
 type ownerAsk struct {
 	HandOver lavrequest.ID
--- a/lavretry/guard_test.go
+++ b/lavretry/guard_test.go
@@ -101,6 +101,31 @@
 		g.Remember(start.Add(2*time.Second), death("a"))
 		lavassert.Equal(t, "action", g.Check(start.Add(2*time.Second), 1).Action, lavretry.ActionGo)
 	})
+	t.Run("what another guard knows is added once", func(t *testing.T) {
+		of := lavretry.NewGuard()
+		begin(t, of, 0, run("1", "a"), lavretry.ActionGo)
+		of.Die(start, death("b"))
+		g := lavretry.NewGuard()
+		for range 2 {
+			for _, k := range of.Known(start) {
+				g.Take(start, k)
+			}
+		}
+		begin(t, g, 0, run("2", "c"), lavretry.ActionWait)
+		g.End(start, run("1", "a"), false)
+		begin(t, g, 0, run("2", "c"), lavretry.ActionAlone)
+	})
+	t.Run("what is known of a fingerprint that was cleared since is not added", func(t *testing.T) {
+		of := lavretry.NewGuard()
+		begin(t, of, 0, run("1", "a"), lavretry.ActionGo)
+		of.Die(start, death("b"))
+		g := lavretry.NewGuard()
+		g.End(start.Add(time.Second), run("2", "c"), true)
+		for _, k := range of.Known(start) {
+			g.Take(start.Add(time.Second), k)
+		}
+		begin(t, g, time.Second, run("3", "d"), lavretry.ActionGo)
+	})
 	t.Run("memory is bounded and deaths outlast the rest", func(t *testing.T) {
 		g := lavretry.NewGuard()
 		g.Die(start, death("a"))
--- /dev/null
+++ b/lavretry/handover.go
@@ -0,0 +1,76 @@
+package lavretry
+
+import (
+	"slices"
+	"time"
+)
+
+// Known is what a host knows of a fingerprint that has killed endpoints, or may.
+type Known struct {
+	Fingerprint uint64
+	Runs        []Run   `json:",omitempty"`
+	Deaths      []Death `json:",omitempty"`
+}
+
+// Known returns what the guard knows of all fingerprints.
+func (g *Guard) Known(now time.Time) []Known {
+	var all []Known
+	for fingerprint, s := range g.known {
+		s.expire(now)
+		if len(s.runs)+len(s.deaths) == 0 {
+			continue
+		}
+		all = append(all, Known{Fingerprint: fingerprint, Runs: slices.Clone(s.runs), Deaths: slices.Clone(s.deaths)})
+	}
+	return all
+}
+
+// Take adds what another host knows. Runs that the guard knows itself, and deaths
+// before a good end, change nothing.
+func (g *Guard) Take(now time.Time, k Known) {
+	for _, d := range k.Deaths {
+		g.Remember(now, d)
+	}
+	s := g.suspicion(now, k.Fingerprint)
+	if now.Before(s.cleared) {
+		return
+	}
+	for _, r := range k.Runs {
+		if !s.has(r.ID) {
+			s.runs = append(s.runs, r)
+		}
+	}
+	s.expire(now)
+}
+
+// maxTold bounds the fingerprints of one message.
+const maxTold = 256
+
+// HandOver tells the hosts that have become keepers of a fingerprint what this
+// host knows of it. Gained returns those hosts: none if this host did not keep the
+// fingerprint before.
+func (s *Suspects) HandOver(gained func(fingerprint uint64) []string) {
+	to := make(map[string][]Known)
+	s.mu.Lock()
+	known := s.guard.Known(time.Now())
+	s.mu.Unlock()
+	for _, k := range known {
+		for _, peer := range gained(k.Fingerprint) {
+			to[peer] = append(to[peer], k)
+		}
+	}
+	for peer, all := range to {
+		for part := range slices.Chunk(all, maxTold) {
+			s.peers.Tell(peer, part)
+		}
+	}
+}
+
+// Take adds what a peer hands over.
+func (s *Suspects) Take(known []Known) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, k := range known {
+		s.guard.Take(time.Now(), k)
+	}
+}
--- a/lavretry/suspects.go
+++ b/lavretry/suspects.go
@@ -35,6 +35,8 @@
 	Die(peer string, r Run, d Death)
 	// Spread tells every peer of a death.
 	Spread(d Death)
+	// Tell hands a peer what this host knows.
+	Tell(peer string, known []Known)
 }
 
 // Alone is the Peers of a host without others.
@@ -55,6 +57,9 @@
 // Spread implements Peers.
 func (Alone) Spread(Death) {}
 
+// Tell implements Peers.
+func (Alone) Tell(string, []Known) {}
+
 // Suspects shares a Guard among hosts.
 type Suspects struct {
 	peers Peers
--- a/lavretry/suspects_test.go
+++ b/lavretry/suspects_test.go
@@ -86,6 +86,12 @@
 	}
 }
 
+func (p *peer) Tell(peer string, known []lavretry.Known) {
+	if !p.mesh.cut {
+		p.mesh.host(peer).Take(known)
+	}
+}
+
 // newMesh returns the mesh of some hosts.
 func newMesh(m mesh, count int) *mesh {
 	store := lavfake.NewStore()
@@ -236,6 +242,25 @@
 	})
 }
 
+// TestLeavingKeeper guards against the last host that knows of a prompt's runs
+// leaving with what it knows, as the other keeper can't be reached.
+func TestLeavingKeeper(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		keepers := [2]int{0, 1}
+		m := newMesh(mesh{keepers: func() [2]int { return keepers }}, 4)
+		for i, endpoint := range []string{"a", "b"} {
+			r := run(fmt.Sprint(i), endpoint)
+			r.Until = time.Now().Add(time.Minute)
+			lavassert.Equal(t, "action", m.hosts[0].Begin(t.Context(), r).Action, lavretry.ActionGo)
+		}
+		// Host 0 dies, host 1 leaves, and 3 and 2 keep the fingerprint.
+		keepers = [2]int{3, 2}
+		m.hosts[1].HandOver(func(uint64) []string { return []string{"2", "3"} })
+		lavassert.Equal(t, "action", m.hosts[2].Begin(t.Context(), run("later", "c")).Action, lavretry.ActionWait)
+		lavassert.Equal(t, "action", m.hosts[3].Begin(t.Context(), run("later", "c")).Action, lavretry.ActionWait)
+	})
+}
+
 // TestCutOffHost guards against a host that reaches no keeper letting a suspect
 // run: it knows of one death and may have missed another.
 func TestCutOffHost(t *testing.T) {
