Wait for the first keeper of a fingerprint longer than for the second

Why it works: while nobody has answered the host waits for up to 500 ms, which two retransmissions fit into, and it notes a quarantine that it is told of. TestSlowKeepers fails without either.

--- a/lavretry/guard.go
+++ b/lavretry/guard.go
@@ -145,6 +145,15 @@
 	g.Die(now, d)
 }
 
+// Quarantine refuses a fingerprint until then, on the word of another host.
+func (g *Guard) Quarantine(now time.Time, fingerprint uint64, until time.Time) {
+	s := g.suspicion(now, fingerprint)
+	s.cleared = time.Time{}
+	for len(s.deaths) < MaxDeaths {
+		s.deaths = append(s.deaths, Death{Fingerprint: fingerprint, At: until.Add(-QuarantineTime)})
+	}
+}
+
 // Remember records a death that was told at some time before now, unless it is
 // too old to count or the fingerprint has been cleared since.
 func (g *Guard) Remember(now time.Time, d Death) {
--- a/lavretry/keepers.go
+++ b/lavretry/keepers.go
@@ -45,20 +45,33 @@
 	return verdict
 }
 
-// askAll asks the keepers at the same time whether a run may begin.
+// askAll asks the keepers at the same time whether a run may begin. It waits for
+// longer while none of them, this host included, has said a word. A keeper that
+// it no longer waits for goes on to be asked, so that it knows of the run.
 func (s *Suspects) askAll(ctx context.Context, k Keepers, r Run) []answer {
-	ctx, cancel := context.WithTimeout(ctx, askTimeout)
-	defer cancel()
 	answers := make(chan answer, len(k.Peers))
 	for _, peer := range k.Peers {
 		go func() {
+			ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), longAskTimeout)
+			defer cancel()
 			verdict, err := s.peers.Begin(ctx, peer, r)
 			answers <- answer{verdict: verdict, err: err}
 		}()
 	}
+	patience := time.NewTimer(askTimeout)
+	defer patience.Stop()
 	var all []answer
-	for range k.Peers {
-		all = append(all, <-answers)
+	reached, late := k.Self, false
+	for len(all) < len(k.Peers) && !(reached && late) {
+		select {
+		case a := <-answers:
+			all = append(all, a)
+			reached = reached || a.err == nil
+		case <-patience.C:
+			late = true
+		case <-ctx.Done():
+			return all
+		}
 	}
 	return all
 }
--- a/lavretry/suspects.go
+++ b/lavretry/suspects.go
@@ -13,11 +13,13 @@
 
 // Times and bounds of sharing.
 const (
-	// askTimeout bounds the wait for a fingerprint's keepers; past it the host
-	// decides by what it knows itself.
-	askTimeout = 150 * time.Millisecond
-	flushEvery = 200 * time.Millisecond
-	readEvery  = 30 * time.Second
+	// askTimeout bounds the wait for the second of a fingerprint's keepers, and
+	// longAskTimeout that for the first; past it the host decides by what it
+	// knows itself.
+	askTimeout     = 150 * time.Millisecond
+	longAskTimeout = 500 * time.Millisecond
+	flushEvery     = 200 * time.Millisecond
+	readEvery      = 30 * time.Second
 	// maxUnwritten bounds the deaths that wait for the store.
 	maxUnwritten = 4096
 	keyPrefix    = "suspect/"
@@ -99,12 +101,23 @@
 	keepers := s.peers.Keepers(r.Fingerprint)
 	s.noteAsked(r, keepers.Peers)
 	verdict := keepers.decide(own, s.askAll(ctx, keepers, r))
+	if verdict.Action == ActionRefuse {
+		s.quarantine(r.Fingerprint, verdict.Until)
+	}
 	if verdict.Action.forbids() {
 		s.End(r, false)
 	}
 	return verdict
 }
 
+// quarantine takes over a keeper's word, so that it holds here also while no
+// keeper can be asked.
+func (s *Suspects) quarantine(fingerprint uint64, until time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.guard.Quarantine(time.Now(), fingerprint, until)
+}
+
 // BeginHere asks this host's own guard, for itself or a peer.
 func (s *Suspects) BeginHere(r Run) Verdict {
 	s.mu.Lock()
--- a/lavretry/suspects_test.go
+++ b/lavretry/suspects_test.go
@@ -25,6 +25,8 @@
 	keepers func() [2]int
 	// cut keeps everyone from the keepers; deaf loses what is spread.
 	cut, deaf bool
+	// slow is how much longer a keeper's answer takes.
+	slow time.Duration
 }
 
 // firstTwo are keepers that stay.
@@ -61,8 +63,9 @@
 	if p.mesh.cut {
 		return lavretry.Verdict{}, errors.New("link is down")
 	}
-	time.Sleep(10 * time.Millisecond)
-	return p.mesh.host(peer).BeginHere(r), nil
+	verdict := p.mesh.host(peer).BeginHere(r)
+	time.Sleep(10*time.Millisecond + p.mesh.slow)
+	return verdict, nil
 }
 
 func (p *peer) End(peer string, r lavretry.Run, finished bool) {
@@ -261,6 +264,21 @@
 	})
 }
 
+// TestSlowKeepers guards against a host letting a prompt run before any keeper has
+// answered, and against it forgetting that the prompt is in quarantine.
+func TestSlowKeepers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMesh(mesh{keepers: firstTwo, slow: 300 * time.Millisecond}, 3)
+		for _, endpoint := range []string{"a", "b"} {
+			m.hosts[0].Hear(death(endpoint))
+			m.hosts[1].Hear(death(endpoint))
+		}
+		lavassert.Equal(t, "action", m.hosts[2].Begin(t.Context(), run("1", "c")).Action, lavretry.ActionRefuse)
+		m.cut = true
+		lavassert.Equal(t, "action while cut off", m.hosts[2].Begin(t.Context(), run("2", "c")).Action, lavretry.ActionRefuse)
+	})
+}
+
 // TestCutOffHost guards against a host that reaches no keeper letting a suspect
 // run: it knows of one death and may have missed another.
 func TestCutOffHost(t *testing.T) {
