Ask an endpoint before work begins there if its owner is silent

Cause: the host that polled the engine for all had died, and the others went by what they had last heard for 2.5 s and more. Ruled out: credits (they were those of a warm engine, rightly by what was known) and the engine's lag (0.2 s).

Owners tell loads right after their polls, so that nobody asks twice while they live.

--- a/lavendpoint/batch.go
+++ b/lavendpoint/batch.go
@@ -18,6 +18,11 @@
 	Full    []Full             `cbor:"3,keyasint,omitempty"`
 	// Hosts are changes of the host list.
 	Hosts []HostChange `cbor:"4,keyasint,omitempty"`
+	// Sent is the owner's time of day as it sent the batch, in Unix milliseconds.
+	Sent int64 `cbor:"5,keyasint,omitempty"`
+	// Ago says, for each of Loads, how many milliseconds before that the owner
+	// asked the endpoint.
+	Ago []uint32 `cbor:"6,keyasint,omitempty"`
 }
 
 // Load is the part of a load report that changes all the time.
@@ -43,6 +48,8 @@
 	Age time.Duration `cbor:"3,keyasint"`
 	// Dead is true if the owner can't reach the endpoint.
 	Dead bool `cbor:"4,keyasint,omitempty"`
+	// Ago is how long ago the owner asked the endpoint.
+	Ago time.Duration `cbor:"5,keyasint,omitempty"`
 }
 
 // HostChange is a host's new entry in the host list.
@@ -52,6 +59,28 @@
 	Gone    bool   `cbor:"3,keyasint,omitempty"`
 }
 
+// maxTravel bounds the time that a batch is taken to have travelled, whatever the
+// clocks of its two ends say.
+const maxTravel = 2 * time.Second
+
+// travel returns how long a batch has travelled. Clocks that differ make it appear
+// older, never newer, than it is without them.
+func (b *Batch) travel(now time.Time) time.Duration {
+	if b.Sent == 0 {
+		return 0
+	}
+	return min(max(now.Sub(time.UnixMilli(b.Sent)), 0), maxTravel)
+}
+
+// ago returns how long before the batch was sent its owner asked the endpoint of
+// its load i.
+func (b *Batch) ago(i int) time.Duration {
+	if i >= len(b.Ago) {
+		return 0
+	}
+	return time.Duration(b.Ago[i]) * time.Millisecond
+}
+
 // maxAge bounds the age of a report; an endpoint may not tell the time at all.
 const maxAge = time.Minute
 
@@ -76,7 +105,7 @@
 }
 
 func fullOf(name string, h heard, now time.Time) Full {
-	f := Full{Name: name, Report: h.report, Age: ageOf(&h.report, now), Dead: h.dead}
+	f := Full{Name: name, Report: h.report, Age: ageOf(&h.report, now), Dead: h.dead, Ago: now.Sub(h.at)}
 	f.Report.Streams, f.Report.Reservations = nil, nil
 	return f
 }
--- a/lavendpoint/share.go
+++ b/lavendpoint/share.go
@@ -22,6 +22,9 @@
 	// tellPerHost is the time between two batches of one host, for each host
 	// of the fleet, so that what all hosts tell together keeps to a rate.
 	tellPerHost = 12 * time.Millisecond
+	// tellDelay is how long after the begin of a round of polls their loads are
+	// told, so that most have come back.
+	tellDelay = 25 * time.Millisecond
 	// missedTells is how many batches of an owner may be missed before others
 	// poll its endpoints, and strangerPoll the time between two such polls.
 	missedTells  = 3
@@ -73,15 +76,15 @@
 
 // tell sends what has changed at the endpoints that this host owns: at once
 // what matters, and the load from time to time.
-func (t *Table) tell(now time.Time) {
+func (t *Table) tell(now time.Time, loads bool) {
 	if t.sharing == nil {
 		return
 	}
 	state := t.releases.State()
 	t.mu.Lock()
-	b := Batch{Release: state.Version, Hosts: t.hostChanges}
+	b := Batch{Release: state.Version, Hosts: t.hostChanges, Sent: now.UnixMilli()}
 	t.hostChanges = nil
-	withLoads := now.Sub(t.told) >= t.tellEvery()
+	withLoads := loads && now.Sub(t.told) >= t.tellEvery()-tellDelay
 	for i := range state.Endpoints {
 		name := state.Endpoints[i].Name
 		h, ok := t.reports[name]
@@ -97,6 +100,7 @@
 		}
 		if withLoads && !h.dead {
 			b.Loads = append(b.Loads, loadOf(i, &h.report, now))
+			b.Ago = append(b.Ago, uint32(now.Sub(h.at).Milliseconds()))
 		}
 	}
 	if withLoads {
@@ -112,28 +116,29 @@
 // snapshot should be made anew at once.
 func (t *Table) HearBatch(b Batch, now time.Time) {
 	state := t.releases.State()
+	sent := now.Add(-b.travel(now))
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, f := range b.Full {
 		f.Report.Taken = now.Add(-f.Age)
 		if t.sharing == nil || !t.sharing.Owns(f.Name) {
-			t.reports[f.Name] = heard{report: f.Report, at: now, dead: f.Dead}
+			t.reports[f.Name] = heard{report: f.Report, at: sent.Add(-f.Ago), dead: f.Dead}
 		}
 	}
 	for _, c := range b.Hosts {
 		t.setHost(c)
 	}
 	if b.Release == state.Version {
-		t.hearLoads(b.Loads, now)
+		t.hearLoads(b, now, sent)
 	}
 	if len(b.Full)+len(b.Hosts) > 0 {
 		t.wakeUp()
 	}
 }
 
-func (t *Table) hearLoads(loads []Load, now time.Time) {
+func (t *Table) hearLoads(b Batch, now, sent time.Time) {
 	state := t.releases.State()
-	for _, l := range loads {
+	for i, l := range b.Loads {
 		if l.Index < 0 || l.Index >= len(state.Endpoints) {
 			continue
 		}
@@ -145,6 +150,6 @@
 			t.reports[name] = h
 			continue
 		}
-		t.reports[name] = heard{report: l.onto(h.report, now), at: now}
+		t.reports[name] = heard{report: l.onto(h.report, now), at: sent.Add(-b.ago(i))}
 	}
 }
--- a/lavendpoint/table.go
+++ b/lavendpoint/table.go
@@ -55,7 +55,8 @@
 // heard is the newest report of an endpoint.
 type heard struct {
 	report lavengine.LoadReport
-	at     time.Time
+	// at is when the endpoint was asked for it.
+	at time.Time
 	// missed counts the polls that failed since, and dead is true if they are
 	// too many.
 	missed int
@@ -98,20 +99,27 @@
 func (t *Table) Serve(ctx context.Context) error {
 	tick := time.NewTicker(pollEvery)
 	defer tick.Stop()
+	// The loads are told once the polls of a round have come back.
+	loads := time.NewTimer(tellDelay)
+	defer loads.Stop()
 	var polls sync.WaitGroup
 	defer polls.Wait()
-	for {
+	for withLoads := false; ; {
 		changed := t.releases.Changed()
 		now := time.Now()
 		t.rebuild(now)
-		t.tell(now)
+		t.tell(now, withLoads)
 		t.poll(ctx, &polls, now)
+		withLoads = false
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-changed:
 		case <-t.wake:
 		case <-tick.C:
+			loads.Reset(tellDelay)
+		case <-loads.C:
+			withLoads = true
 		}
 	}
 }
@@ -149,13 +157,13 @@
 func (t *Table) pollOne(ctx context.Context, e *Endpoint) {
 	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
 	defer cancel()
+	asked := time.Now()
 	report, err := t.dial(e).Load(ctx)
-	now := time.Now()
 	t.mu.Lock()
 	delete(t.polling, e.Name)
 	t.mu.Unlock()
 	if err == nil {
-		t.Hear(e.Name, report, now)
+		t.Hear(e.Name, report, asked)
 		return
 	}
 	t.miss(e.Name)
@@ -177,18 +185,18 @@
 	t.reports[name] = h
 }
 
-// Hear takes a load report of an endpoint. An older report than the last of
-// the same incarnation is dropped.
-func (t *Table) Hear(name string, report lavengine.LoadReport, now time.Time) {
+// Hear takes a load report that an endpoint was asked for at that time. An older
+// report than the last of the same incarnation is dropped.
+func (t *Table) Hear(name string, report lavengine.LoadReport, asked time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	last := t.reports[name]
 	if last.report.Incarnation == report.Incarnation && report.Taken.Before(last.report.Taken) {
-		last.at, last.missed, last.dead = now, 0, false
+		last.at, last.missed, last.dead = asked, 0, false
 		t.reports[name] = last
 		return
 	}
-	t.reports[name] = heard{report: report, at: now}
+	t.reports[name] = heard{report: report, at: asked}
 	if last.dead || !sameKind(&last.report, &report) {
 		t.wakeUp()
 	}
--- a/lavendpoint/table_test.go
+++ b/lavendpoint/table_test.go
@@ -254,3 +254,54 @@
 		})
 	})
 }
+
+// TestConfirm guards against work that begins at an endpoint by what was known
+// before its owner died, though it has turned cold since.
+func TestConfirm(t *testing.T) {
+	const name = "engine-3"
+	// confirmed asks one host for what it would begin work by.
+	confirmed := func(f *fleet, host int) lavengine.LoadReport {
+		e, ok := f.tables[host].Snapshot().Find(name)
+		lavassert.True(f.t, "endpoint is known", ok)
+		report, err := f.tables[host].Confirm(f.t.Context(), e)
+		lavassert.NoError(f.t, err)
+		return report
+	}
+	t.Run("what turned cold a second ago is known to be", func(t *testing.T) {
+		for after := 0 * time.Millisecond; after < 3*time.Second; after += 70 * time.Millisecond {
+			withFleet(t, 6, func(f *fleet) {
+				f.kill(3)
+				time.Sleep(after)
+				f.set(name, cold("a"))
+				time.Sleep(time.Second)
+				for host := range 3 {
+					lavassert.True(t, fmt.Sprintf("host %d knows, %v after the death", host, after), confirmed(f, host).Cold)
+				}
+			})
+		}
+	})
+	t.Run("nobody is asked while the owner tells", func(t *testing.T) {
+		withFleet(t, 6, func(f *fleet) {
+			time.Sleep(10 * time.Second)
+			f.takePolls()
+			const calls, pause = 100, 100 * time.Millisecond
+			for range calls {
+				for host := range 6 {
+					confirmed(f, host)
+				}
+				time.Sleep(pause)
+			}
+			lavassert.AtMost(t, "polls in 10 s of 10 engines", f.takePolls(), 10*20+10)
+		})
+	})
+	t.Run("an endpoint that can't be asked is not confirmed", func(t *testing.T) {
+		withFleet(t, 6, func(f *fleet) {
+			f.kill(3)
+			f.setDown(name, true)
+			time.Sleep(time.Second)
+			e, _ := f.tables[0].Snapshot().Find(name)
+			_, err := f.tables[0].Confirm(f.t.Context(), e)
+			lavassert.ErrorIs(t, err, errDown)
+		})
+	})
+}
--- a/lavnode/calls.go
+++ b/lavnode/calls.go
@@ -38,6 +38,7 @@
 	c.relay = lavstream.NewRelay(lavstream.Parts{
 		Dispatcher: n.dispatch,
 		Engine:     n.pinnedEngine,
+		Confirm:    n.table.Confirm,
 		Suspects:   c.suspects,
 		Live:       c.live,
 		Customers:  lavretry.NewBudget[string](),
--- a/lavretry/doc.go
+++ b/lavretry/doc.go
@@ -10,7 +10,7 @@
 //     endpoint at a time until it ends well, which clears it; its second death
 //     puts it in quarantine.
 //
-// Guard is a pure state machine. Suspects shares it among hosts: the owner of
-// a fingerprint decides, deaths go to all hosts over the mesh and are kept in
+// Guard is a pure state machine. Suspects shares it among hosts: the two keepers
+// of a fingerprint decide, deaths go to all hosts over the mesh and are kept in
 // the store for hosts that start later.
 package lavretry
--- a/lavretry/keepers.go
+++ b/lavretry/keepers.go
@@ -62,7 +62,7 @@
 	defer patience.Stop()
 	var all []answer
 	reached, late := k.Self, false
-	for len(all) < len(k.Peers) && !(reached && late) {
+	for len(all) < len(k.Peers) && (!reached || !late) {
 		select {
 		case a := <-answers:
 			all = append(all, a)
--- a/lavstream/harness_test.go
+++ b/lavstream/harness_test.go
@@ -12,6 +12,7 @@
 	"lavenderrack.example/lavenderrack/lavcredit"
 	"lavenderrack.example/lavenderrack/lavdispatch"
 	"lavenderrack.example/lavenderrack/lavendpoint"
+	"lavenderrack.example/lavenderrack/lavengine"
 	"lavenderrack.example/lavenderrack/lavfake"
 	"lavenderrack.example/lavenderrack/lavqueue"
 	"lavenderrack.example/lavenderrack/lavrequest"
@@ -48,10 +49,21 @@
 	dispatch *lavdispatch.Dispatcher
 	suspects *lavretry.Suspects
 	scope    tally.TestScope
+	// cold is an endpoint that turns out to be cold as work is to begin there.
+	cold string
 }
 
 const entryHost = "entry"
 
+// confirm shows what is known of an endpoint, or that it has turned cold.
+func (h *host) confirm(_ context.Context, e *lavendpoint.Endpoint) (lavengine.LoadReport, error) {
+	report := e.Report
+	if e.Name == h.cold {
+		report.Cold = true
+	}
+	return report, nil
+}
+
 // inWorld runs body with three engines and two hosts.
 func inWorld(t *testing.T, settings lavfake.EngineSettings, body func(t *testing.T, w *world)) {
 	t.Helper()
@@ -93,6 +105,7 @@
 	h.relay = lavstream.NewRelay(lavstream.Parts{
 		Dispatcher: h.dispatch,
 		Engine:     w.rack.Dial(w.rack.Client(entryHost)),
+		Confirm:    h.confirm,
 		Suspects:   h.suspects,
 		Live:       h.live,
 		Customers:  lavretry.NewBudget[string](),
--- a/lavstream/relay.go
+++ b/lavstream/relay.go
@@ -40,8 +40,11 @@
 type Parts struct {
 	Dispatcher Dispatcher
 	Engine     func(e *lavendpoint.Endpoint) lavengine.Engine
-	Suspects   *lavretry.Suspects
-	Live       *Live
+	// Confirm returns a report of the endpoint that is fresh enough to begin
+	// work there.
+	Confirm  func(ctx context.Context, e *lavendpoint.Endpoint) (lavengine.LoadReport, error)
+	Suspects *lavretry.Suspects
+	Live     *Live
 	// Customers and Endpoints are the budgets of retries.
 	Customers *lavretry.Budget[string]
 	Endpoints *lavretry.Budget[string]
@@ -191,6 +194,24 @@
 	return err
 }
 
+// errChanged means that an endpoint is no longer what it was when a request was
+// assigned to it: it has restarted, or turned cold.
+var errChanged = errors.New("endpoint has restarted or turned cold")
+
+// confirm makes sure that the endpoint still bears the request. One that can't be
+// asked counts as not reached, and one that has changed as refusing.
+func (j *running) confirm(ctx context.Context, assigned *lavdispatch.Assignment) error {
+	report, err := j.parts.Confirm(ctx, &assigned.Endpoint)
+	credit := &assigned.Credit
+	switch {
+	case err != nil:
+		return errors.Mark(err, lavengine.ErrNotSent)
+	case report.Incarnation != credit.Incarnation || report.Cold && !credit.Cold:
+		return errors.Mark(errChanged, lavengine.ErrRefused)
+	}
+	return nil
+}
+
 // errExpired means that a request waited for so long between its assignment
 // and its sending that a cold endpoint may have been given to others.
 var errExpired = errors.New("credit has expired")
@@ -199,6 +220,9 @@
 // request may have run.
 func (j *running) submit(ctx context.Context, source *Source, assigned *lavdispatch.Assignment) (bool, error) {
 	request := j.job.Request
+	if err := j.confirm(ctx, assigned); err != nil {
+		return false, lavstep.Wrap(err, lavstep.EngineSubmit, source.Endpoint)
+	}
 	if !assigned.Credit.Valid(time.Now()) {
 		return false, lavstep.Wrap(errors.Mark(errExpired, lavengine.ErrNotSent), lavstep.EngineSubmit, source.Endpoint)
 	}
--- a/lavstream/relay_test.go
+++ b/lavstream/relay_test.go
@@ -60,6 +60,25 @@
 	}
 }
 
+// TestEndpointThatTurnedCold guards against a prompt being sent to an endpoint
+// that has turned cold since the prompt was assigned to it.
+func TestEndpointThatTurnedCold(t *testing.T) {
+	inWorld(t, engineSettings(), func(t *testing.T, w *world) {
+		first := newAsk("lace", 10, 10*time.Second)
+		lavassert.NoError(t, first.run(t, w.hosts[0]))
+		cold := first.pieces[0].Endpoint
+		before := w.at(first.pieces[0]).Counts().Submitted
+		w.hosts[0].cold = cold
+		for range 5 {
+			a := newAsk("lace", 10, 10*time.Second)
+			lavassert.NoError(t, a.run(t, w.hosts[0]))
+			a.whole(t)
+			lavassert.True(t, "another endpoint answers", a.pieces[0].Endpoint != cold)
+		}
+		lavassert.Equal(t, "prompts sent there", w.at(first.pieces[0]).Counts().Submitted, before)
+	})
+}
+
 // TestRelayFaultAtEachStep fails each step that a relay reaches, once.
 func TestRelayFaultAtEachStep(t *testing.T) {
 	steps := []lavstep.Step{
