Let a load name the whole report that it belongs to

Cause: it missed the owners' word that the engines were warm, which is told once, and put the loads that followed onto the old report, since these named the incarnation only.

Why it works: loads name the whole report by a hash, and a host that has another one asks the endpoint.

--- a/lavendpoint/batch.go
+++ b/lavendpoint/batch.go
@@ -1,7 +1,8 @@
 package lavendpoint
 
 import (
-	"slices"
+	"encoding/binary"
+	"math"
 	"time"
 
 	"lavenderrack.example/lavenderrack/lavengine"
@@ -30,8 +31,8 @@
 	_ struct{} `cbor:",toarray"`
 	// Index is the endpoint's place in the release.
 	Index int
-	// Life names the endpoint's incarnation.
-	Life          uint32
+	// Kind stands for the whole report that the load is to be put onto.
+	Kind          uint32
 	Age           uint32
 	Running       int
 	Waiting       int
@@ -89,21 +90,39 @@
 	return min(max(now.Sub(r.Taken), 0), maxAge)
 }
 
-func lifeOf(i lavengine.Incarnation) uint32 { return uint32(xxhash.Sum64String(string(i))) }
+// kindOf sums up all of a report but its load. A host that missed a change knows
+// by it that the report it has is not the one that a load belongs to.
+func kindOf(r *lavengine.LoadReport) uint32 {
+	var cold uint64
+	if r.Cold {
+		cold = 1
+	}
+	var text []byte
+	for _, number := range []uint64{
+		cold, uint64(r.ColdLimit), uint64(r.MemoryTokens), r.Fence,
+		math.Float64bits(r.PrefillRate), math.Float64bits(r.DecodeRate),
+	} {
+		text = binary.BigEndian.AppendUint64(text, number)
+	}
+	text = appendNames(text, string(r.Incarnation))
+	text = appendNames(text, r.Models...)
+	text = appendNames(text, r.Adapters...)
+	return uint32(xxhash.Sum64(text))
+}
 
-// sameKind reports whether two reports differ in their load alone.
-func sameKind(a, b *lavengine.LoadReport) bool {
-	return a.Incarnation == b.Incarnation &&
-		a.Cold == b.Cold &&
-		a.ColdLimit == b.ColdLimit &&
-		a.MemoryTokens == b.MemoryTokens &&
-		a.PrefillRate == b.PrefillRate &&
-		a.DecodeRate == b.DecodeRate &&
-		a.Fence == b.Fence &&
-		slices.Equal(a.Models, b.Models) &&
-		slices.Equal(a.Adapters, b.Adapters)
+// appendNames appends names so that no two lists look the same.
+func appendNames(text []byte, names ...string) []byte {
+	text = binary.BigEndian.AppendUint64(text, uint64(len(names)))
+	for _, name := range names {
+		text = binary.BigEndian.AppendUint64(text, uint64(len(name)))
+		text = append(text, name...)
+	}
+	return text
 }
 
+// sameKind reports whether two reports differ in their load alone.
+func sameKind(a, b *lavengine.LoadReport) bool { return kindOf(a) == kindOf(b) }
+
 func fullOf(name string, h heard, now time.Time) Full {
 	f := Full{Name: name, Report: h.report, Age: ageOf(&h.report, now), Dead: h.dead, Ago: now.Sub(h.at)}
 	f.Report.Streams, f.Report.Reservations = nil, nil
@@ -113,7 +132,7 @@
 func loadOf(index int, r *lavengine.LoadReport, now time.Time) Load {
 	return Load{
 		Index:         index,
-		Life:          lifeOf(r.Incarnation),
+		Kind:          kindOf(r),
 		Age:           uint32(ageOf(r, now).Milliseconds()),
 		Running:       r.Running,
 		Waiting:       r.Waiting,
@@ -122,8 +141,7 @@
 	}
 }
 
-// onto returns the report that a load makes of an earlier one of the same
-// incarnation.
+// onto returns the report that a load makes of an earlier one of the same kind.
 func (l Load) onto(r lavengine.LoadReport, now time.Time) lavengine.LoadReport {
 	r.Taken = now.Add(-time.Duration(l.Age) * time.Millisecond)
 	r.Running, r.Waiting = l.Running, l.Waiting
--- a/lavendpoint/share.go
+++ b/lavendpoint/share.go
@@ -144,8 +144,8 @@
 		}
 		name := state.Endpoints[l.Index].Name
 		h := t.reports[name]
-		if lifeOf(h.report.Incarnation) != l.Life || h.report.Incarnation == "" {
-			// Its whole report was missed: this host asks the endpoint itself.
+		if h.report.Incarnation == "" || kindOf(&h.report) != l.Kind {
+			// Its last whole report was missed: this host asks the endpoint itself.
 			h.at = time.Time{}
 			t.reports[name] = h
 			continue
--- a/lavendpoint/table_test.go
+++ b/lavendpoint/table_test.go
@@ -27,8 +27,10 @@
 	cancels  []context.CancelFunc
 	ended    sync.WaitGroup
 
-	mu      sync.Mutex
-	alive   []bool
+	mu    sync.Mutex
+	alive []bool
+	// deaf is a host that misses what is told; below zero is none.
+	deaf    int
 	reports map[string]lavengine.LoadReport
 	down    map[string]bool
 	polls   int
@@ -95,7 +97,7 @@
 func (s *seat) Tell(b lavendpoint.Batch) {
 	for i, t := range s.fleet.tables {
 		s.fleet.mu.Lock()
-		hears := i != s.i && s.fleet.alive[i] && s.fleet.alive[s.i]
+		hears := i != s.i && i != s.fleet.deaf && s.fleet.alive[i] && s.fleet.alive[s.i]
 		s.fleet.mu.Unlock()
 		if hears {
 			t.HearBatch(b, time.Now())
@@ -123,6 +125,12 @@
 	return n
 }
 
+func (f *fleet) setDeaf(i int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.deaf = i
+}
+
 // kill ends a host.
 func (f *fleet) kill(i int) {
 	f.mu.Lock()
@@ -152,7 +160,7 @@
 func withFleet(t *testing.T, hosts int, body func(f *fleet)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		f := &fleet{t: t, list: &hostList{}, reports: make(map[string]lavengine.LoadReport), down: make(map[string]bool)}
+		f := &fleet{t: t, deaf: -1, list: &hostList{}, reports: make(map[string]lavengine.LoadReport), down: make(map[string]bool)}
 		f.releases = lavrelease.NewFollower(lavfake.NewStore())
 		state := &lavrelease.State{Version: 1, NoteID: "first"}
 		state.FailureDomains = []lavrelease.FailureDomain{{Name: "north", Region: "inland"}}
@@ -217,6 +225,22 @@
 			lavassert.AtMost(t, "time", f.awaitPhase("engine-3", lavendpoint.PhaseReady), bound)
 		})
 	})
+	// A host that starts misses what is told before its links stand.
+	t.Run("a host that missed a change learns of it", func(t *testing.T) {
+		withFleet(t, 6, func(f *fleet) {
+			changes := []struct {
+				report lavengine.LoadReport
+				want   lavendpoint.Phase
+			}{{cold("a"), lavendpoint.PhaseCold}, {warm("a"), lavendpoint.PhaseReady}}
+			for _, c := range changes {
+				f.setDeaf(0)
+				f.set("engine-3", c.report)
+				time.Sleep(time.Second)
+				f.setDeaf(-1)
+				lavassert.AtMost(t, "time", f.awaitPhase("engine-3", c.want), bound)
+			}
+		})
+	})
 	t.Run("a dead endpoint is out everywhere", func(t *testing.T) {
 		withFleet(t, 6, func(f *fleet) {
 			f.setDown("engine-3", true)
