Look anew whether an engine is cold before a long prompt goes on there

In all three traces looked at the submission that killed the engine added nothing to the 32,021 tokens that the prompt had reserved there, 1.8 to 2.3 s after the engine had turned cold.

--- a/lavfake/rack.go
+++ b/lavfake/rack.go
@@ -5,11 +5,14 @@
 	"fmt"
 	"net/http"
 	"net/netip"
+	"slices"
 	"time"
 
 	"lavenderrack.example/lavenderrack/lavendpoint"
 	"lavenderrack.example/lavenderrack/lavengine"
 	"lavenderrack.example/lavenderrack/lavfakenet"
+
+	"github.com/cockroachdb/errors"
 )
 
 // Rack is a set of engines on a network in memory, each on a host of its own
@@ -86,6 +89,18 @@
 	return s
 }
 
+// errDown means that an engine answers nothing.
+var errDown = errors.New("engine is down")
+
+// Confirm returns what an engine says of itself now.
+func (r *Rack) Confirm(_ context.Context, e *lavendpoint.Endpoint) (lavengine.LoadReport, error) {
+	i := slices.Index(r.names, e.Name)
+	if i < 0 || r.Engines[i].isDown() {
+		return lavengine.LoadReport{}, errDown
+	}
+	return r.Engines[i].report(), nil
+}
+
 // reportEvery is how often the engines are taken to report.
 const reportEvery = 100 * time.Millisecond
 
--- a/lavgang/gang_test.go
+++ b/lavgang/gang_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"lavenderrack.example/lavenderrack/lavassert"
+	"lavenderrack.example/lavenderrack/lavendpoint"
 	"lavenderrack.example/lavenderrack/lavengine"
 	"lavenderrack.example/lavenderrack/lavfake"
 	"lavenderrack.example/lavenderrack/lavgang"
@@ -39,8 +40,22 @@
 	scope  tally.TestScope
 	// alive is false once the entry host has died.
 	alive bool
+	// old, until then, is a snapshot that is behind what the engines report.
+	old   *lavendpoint.Snapshot
+	until time.Time
 }
 
+// Snapshot returns what the entry host knows of the engines.
+func (w *world) Snapshot() *lavendpoint.Snapshot {
+	if time.Now().Before(w.until) {
+		return w.old
+	}
+	return w.rack.Snapshot()
+}
+
+// lag keeps what the entry host knows of the engines as it is for a while.
+func (w *world) lag(d time.Duration) { w.old, w.until = w.rack.Snapshot(), time.Now().Add(d) }
+
 func settings() lavfake.EngineSettings {
 	return lavfake.EngineSettings{
 		MemoryTokens: engineMemory, PrefillRate: 20_000, DecodeRate: 100, Step: 20 * time.Millisecond,
@@ -58,8 +73,9 @@
 			lavassert.NoError(t, err)
 		}
 		w.runner = lavgang.NewRunner(lavgang.Parts{
-			Endpoints: w.rack,
+			Endpoints: w,
 			Engine:    w.rack.Dial(w.rack.Client(entryHost)),
+			Confirm:   w.rack.Confirm,
 			Live:      w.live,
 			Suspects:  lavretry.NewSuspects(lavfake.NewStore(), lavretry.Alone{}),
 			Scope:     w.scope,
@@ -173,29 +189,33 @@
 			lavassert.Equal(t, "held", w.held(), 0)
 		})
 	})
-	t.Run("an engine that turns cold gets no more of the prompt", func(t *testing.T) {
-		// The last part decodes the answer: it turns cold before that.
-		for _, nth := range []int{1, 5, 7} {
-			inWorld(t, 8, func(t *testing.T, w *world) {
-				ctx := at(t.Context(), lavstep.GangCheckpoint, nth, func(string) error {
-					for i, e := range w.rack.Engines {
-						if i%2 == 0 && e.Reserved() > 0 {
-							e.Chill()
+	// The last part decodes the answer: it turns cold before that. The entry host
+	// may hear of it seconds later.
+	for _, lag := range []time.Duration{0, 3 * time.Second} {
+		t.Run(fmt.Sprintf("an engine that turns cold gets no more of the prompt, known after %v", lag), func(t *testing.T) {
+			for _, nth := range []int{1, 5, 7} {
+				inWorld(t, 8, func(t *testing.T, w *world) {
+					ctx := at(t.Context(), lavstep.GangCheckpoint, nth, func(string) error {
+						w.lag(lag)
+						for i, e := range w.rack.Engines {
+							if i%2 == 0 && e.Reserved() > 0 {
+								e.Chill()
+							}
 						}
+						return nil
+					})
+					job, answer := newJob(prompt(), 5*time.Minute)
+					_, err := w.run(ctx, job)
+					lavassert.NoError(t, err)
+					w.whole(t, job, answer)
+					for i, e := range w.rack.Engines {
+						lavassert.Equal(t, fmt.Sprint("cold overloads of ", i), e.Counts().ColdOverloads, 0)
 					}
-					return nil
+					lavassert.Equal(t, "held", w.held(), 0)
 				})
-				job, answer := newJob(prompt(), 5*time.Minute)
-				_, err := w.run(ctx, job)
-				lavassert.NoError(t, err)
-				w.whole(t, job, answer)
-				for i, e := range w.rack.Engines {
-					lavassert.Equal(t, fmt.Sprint("cold overloads of ", i), e.Counts().ColdOverloads, 0)
-				}
-				lavassert.Equal(t, "held", w.held(), 0)
-			})
-		}
-	})
+			}
+		})
+	}
 	t.Run("a prompt that kills engines kills two", func(t *testing.T) {
 		inWorld(t, 8, func(t *testing.T, w *world) {
 			for range 3 {
--- a/lavgang/read.go
+++ b/lavgang/read.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"lavenderrack.example/lavenderrack/lavendpoint"
 	"lavenderrack.example/lavenderrack/lavengine"
 	"lavenderrack.example/lavenderrack/lavqueue"
 	"lavenderrack.example/lavenderrack/lavretry"
@@ -29,7 +28,7 @@
 			return &lavqueue.Refusal{Reason: lavqueue.ReasonDeadline}
 		}
 		p := r.parts[r.plan.Part(r.next)]
-		if r.cooled(p) {
+		if r.cooled(ctx, p) {
 			return r.leave(p)
 		}
 		if err := r.segment(ctx, p); err != nil {
@@ -42,10 +41,10 @@
 
 // cooled reports whether an engine has turned cold since the part was reserved.
 // The memory that it holds may be more than it bears now, so that no work may
-// follow.
-func (r *run) cooled(p *part) bool {
-	e, ok := r.Runner.parts.Endpoints.Snapshot().Find(p.endpoint.Name)
-	return ok && e.Phase == lavendpoint.PhaseCold
+// follow. One that can't be asked shows that at the work itself.
+func (r *run) cooled(ctx context.Context, p *part) bool {
+	report, err := r.Runner.parts.Confirm(ctx, p.endpoint)
+	return err == nil && report.Cold
 }
 
 // leave gives a part at an engine that has turned cold up, so that another
@@ -137,13 +136,13 @@
 // decode submits what is left of the prompt and delivers the answer.
 func (r *run) decode(ctx context.Context) error {
 	p := r.parts[len(r.parts)-1]
-	if r.cooled(p) {
-		return r.leave(p)
-	}
 	if err := r.load(ctx, p); err != nil {
 		r.fail(ctx, p)
 		return err
 	}
+	if r.cooled(ctx, p) {
+		return r.leave(p)
+	}
 	source := &lavstream.Source{Engine: p.engine, Endpoint: p.endpoint.Name, Incarnation: p.incarnation, ID: r.job.Request.ID}
 	began := time.Now()
 	stream, err := p.engine.Submit(ctx, r.submission(p))
--- a/lavgang/runner.go
+++ b/lavgang/runner.go
@@ -44,8 +44,11 @@
 type Parts struct {
 	Endpoints Endpoints
 	Engine    func(e *lavendpoint.Endpoint) lavengine.Engine
-	Live      *lavstream.Live
-	Suspects  *lavretry.Suspects
+	// Confirm returns a report of the endpoint that is fresh enough to begin
+	// work there.
+	Confirm  func(ctx context.Context, e *lavendpoint.Endpoint) (lavengine.LoadReport, error)
+	Live     *lavstream.Live
+	Suspects *lavretry.Suspects
 	// Estimate, if not nil, returns how long a prompt takes among the others.
 	Estimate func(r *lavrequest.Request) time.Duration
 	Scope    tally.Scope
--- a/lavnode/calls.go
+++ b/lavnode/calls.go
@@ -48,6 +48,7 @@
 	c.gang = lavgang.NewRunner(lavgang.Parts{
 		Endpoints: n.table,
 		Engine:    n.engine,
+		Confirm:   n.table.Confirm,
 		Live:      c.live,
 		Suspects:  c.suspects,
 		Estimate:  n.dispatch.Estimate,
