Let the test of keepers by turns measure with the monotonic clock

The check is right and stays as it is; the test now goes by the mesh's age. TestNoTimeOfDay failed before and passes; lavretry's tests pass.

--- a/lavretry/suspects_test.go
+++ b/lavretry/suspects_test.go
@@ -21,8 +21,10 @@
 // mesh joins the suspects of some hosts.
 type mesh struct {
 	hosts []*lavretry.Suspects
-	// keepers says which two hosts keep every fingerprint at a time.
-	keepers func() [2]int
+	// keepers says which two hosts keep every fingerprint when the mesh is that
+	// old.
+	keepers func(age time.Duration) [2]int
+	began   time.Time
 	// cut keeps everyone from the keepers; deaf loses what is spread.
 	cut, deaf bool
 	// slow is how much longer a keeper's answer takes.
@@ -30,7 +32,7 @@
 }
 
 // firstTwo are keepers that stay.
-func firstTwo() [2]int { return [2]int{0, 1} }
+func firstTwo(time.Duration) [2]int { return [2]int{0, 1} }
 
 // peer is a host's view of the mesh.
 type peer struct {
@@ -40,7 +42,7 @@
 
 func (p *peer) Keepers(uint64) lavretry.Keepers {
 	var keepers lavretry.Keepers
-	for _, i := range p.mesh.keepers() {
+	for _, i := range p.mesh.keepers(time.Since(p.mesh.began)) {
 		if i == p.self {
 			keepers.Self = true
 		} else {
@@ -97,6 +99,7 @@
 
 // newMesh returns the mesh of some hosts.
 func newMesh(m mesh, count int) *mesh {
+	m.began = time.Now()
 	store := lavfake.NewStore()
 	for i := range count {
 		m.hosts = append(m.hosts, lavretry.NewSuspects(store, &peer{self: i, mesh: &m}))
@@ -193,8 +196,8 @@
 }
 
 // byTurns are keepers of which one is replaced each 250 ms.
-func byTurns() [2]int {
-	turn := int(time.Now().UnixMilli() / 250)
+func byTurns(age time.Duration) [2]int {
+	turn := int(age / (250 * time.Millisecond))
 	return [2]int{turn % hosts, (turn + 1) % hosts}
 }
 
@@ -203,7 +206,7 @@
 func TestNewKeeper(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		keepers := [2]int{0, 1}
-		m := newMesh(mesh{keepers: func() [2]int { return keepers }, deaf: true}, 4)
+		m := newMesh(mesh{keepers: func(time.Duration) [2]int { return keepers }, deaf: true}, 4)
 		killed := func(id, endpoint string) {
 			r := run(id, endpoint)
 			r.Until = time.Now().Add(time.Minute)
@@ -225,7 +228,7 @@
 func TestNewKeeperAndRunningPrompts(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		keepers := [2]int{0, 1}
-		m := newMesh(mesh{keepers: func() [2]int { return keepers }}, 4)
+		m := newMesh(mesh{keepers: func(time.Duration) [2]int { return keepers }}, 4)
 		at := func(host int, id, endpoint string, want lavretry.Action) lavretry.Run {
 			t.Helper()
 			r := run(id, endpoint)
@@ -250,7 +253,7 @@
 func TestLeavingKeeper(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		keepers := [2]int{0, 1}
-		m := newMesh(mesh{keepers: func() [2]int { return keepers }}, 4)
+		m := newMesh(mesh{keepers: func(time.Duration) [2]int { return keepers }}, 4)
 		for i, endpoint := range []string{"a", "b"} {
 			r := run(fmt.Sprint(i), endpoint)
 			r.Until = time.Now().Add(time.Minute)
