Refuse a new connection to an engine that has turned cold

What callers saw: on paths that lose packets, a prompt that was meant for a warm engine reached one that had turned cold, and took it down with all that ran there. Cause: a host asks an engine before work begins there if nobody has lately, but opening the connection that the prompt then goes on takes time of its own, up to a second with resends. That connection already asks for the engine's load, to see whether it is still the same process, and didn't look at whether it is cold. Change: the pin of a connection says whether the engine may be cold; one that is cold though it was taken for warm is refused before the prompt is sent, and the prompt goes elsewhere.

Test: TestPinnedToWarm fails without the check (the prompt arrives at the cold engine and is broken off: 2 prompts arrived, 1 wanted) and passes with it.

--- a/lavengine/pin.go
+++ b/lavengine/pin.go
@@ -14,9 +14,21 @@
 	"github.com/cockroachdb/errors"
 )
 
-// ErrRestarted means that an engine has restarted since its load report. The
-// request was not sent.
-var ErrRestarted = errors.New("engine has restarted")
+var (
+	// ErrRestarted means that an engine has restarted since its load report. The
+	// request was not sent.
+	ErrRestarted = errors.New("engine has restarted")
+	// ErrTurnedCold means that an engine has turned cold since its load report.
+	// The request was not sent.
+	ErrTurnedCold = errors.New("engine has turned cold")
+)
+
+// Pin is what an engine must be as a connection to it is opened.
+type Pin struct {
+	Incarnation Incarnation
+	// Cold is true if it may be cold.
+	Cold bool
+}
 
 // Times and sizes of pinned connections.
 const (
@@ -28,12 +40,13 @@
 
 // Pins gives HTTP clients whose connections reach one incarnation of an engine
 // and no other. Each new connection first asks for the engine's load, whose
-// report names the incarnation, and is closed if it is another. A connection
-// ends with the process that it leads to, so that a prompt which was meant for
-// a warm engine never reaches the cold one that has come in its place.
+// report names the incarnation, and is closed if it is another, or if the engine
+// is cold and was thought to be warm. A connection ends with the process that it
+// leads to, so that a prompt which was meant for a warm engine never reaches the
+// cold one that has come in its place.
 //
-// Each incarnation has a pool of connections of its own, so that what closes
-// idle connections must do so in all pools: see DropIdle.
+// Each pin has a pool of connections of its own, so that what closes idle
+// connections must do so in all pools: see DropIdle.
 type Pins struct {
 	// client is that of the connections which lead to any incarnation.
 	client *http.Client
@@ -43,12 +56,12 @@
 	clients map[netip.AddrPort]*pinned
 }
 
-// pinned is the client of one engine's present incarnation.
+// pinned is the client of one engine as it is thought to be.
 type pinned struct {
-	incarnation Incarnation
-	client      *http.Client
-	transport   *http.Transport
-	used        time.Time
+	pin       Pin
+	client    *http.Client
+	transport *http.Transport
+	used      time.Time
 }
 
 // NewPins returns pins that dial as client does.
@@ -60,17 +73,17 @@
 	return &Pins{client: client, dial: dial, clients: make(map[netip.AddrPort]*pinned)}
 }
 
-// Client returns the client for an engine's incarnation. Clients of an earlier
-// one are dropped, with their idle connections.
-func (p *Pins) Client(now time.Time, addr netip.AddrPort, incarnation Incarnation) *http.Client {
+// Client returns the client for an engine. That for an earlier pin is dropped,
+// with its idle connections.
+func (p *Pins) Client(now time.Time, addr netip.AddrPort, pin Pin) *http.Client {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	have := p.clients[addr]
-	if have == nil || have.incarnation != incarnation {
+	if have == nil || have.pin != pin {
 		if have != nil {
 			have.transport.CloseIdleConnections()
 		}
-		have = p.newPinned(incarnation)
+		have = p.newPinned(pin)
 		p.clients[addr] = have
 		p.tidy(now)
 	}
@@ -103,26 +116,30 @@
 	}
 }
 
-func (p *Pins) newPinned(incarnation Incarnation) *pinned {
+func (p *Pins) newPinned(pin Pin) *pinned {
 	transport := &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			return p.connect(ctx, network, address, incarnation)
+			return p.connect(ctx, network, address, pin)
 		},
 		MaxIdleConnsPerHost: pinIdlePerHost,
 		IdleConnTimeout:     pinIdle,
 	}
-	return &pinned{incarnation: incarnation, transport: transport, client: &http.Client{Transport: transport}}
+	return &pinned{pin: pin, transport: transport, client: &http.Client{Transport: transport}}
 }
 
 // connect dials and checks who answers.
-func (p *Pins) connect(ctx context.Context, network, address string, want Incarnation) (net.Conn, error) {
+func (p *Pins) connect(ctx context.Context, network, address string, want Pin) (net.Conn, error) {
 	conn, err := p.dial(ctx, network, address)
 	if err != nil {
 		return nil, err
 	}
-	got, err := askIncarnation(conn, address)
-	if err == nil && got != want {
+	report, err := askReport(conn, address)
+	switch {
+	case err != nil:
+	case report.Incarnation != want.Incarnation:
 		err = ErrRestarted
+	case report.Cold && !want.Cold:
+		err = ErrTurnedCold
 	}
 	if err != nil {
 		_ = conn.Close()
@@ -132,51 +149,50 @@
 	return conn, nil
 }
 
-// askIncarnation asks for a load report on a connection that is not used yet,
+// askReport asks for a load report on a connection that is not used yet,
 // and leaves the connection as it was.
-func askIncarnation(conn net.Conn, address string) (Incarnation, error) {
+func askReport(conn net.Conn, address string) (LoadReport, error) {
+	var report LoadReport
 	if err := conn.SetDeadline(time.Now().Add(pinTimeout)); err != nil {
-		return "", err
+		return report, err
 	}
 	request, err := http.NewRequestWithContext(context.Background(), http.MethodGet, "http://"+address+"/load", http.NoBody)
 	if err != nil {
-		return "", err
+		return report, err
 	}
 	if err := request.Write(conn); err != nil {
-		return "", err
+		return report, err
 	}
 	reader := bufio.NewReader(conn)
 	answer, err := http.ReadResponse(reader, request)
 	if err != nil {
-		return "", err
+		return report, err
 	}
 	defer func() { _ = answer.Body.Close() }()
-	var report LoadReport
 	if err := json.NewDecoder(io.LimitReader(answer.Body, maxReplyBytes)).Decode(&report); err != nil {
-		return "", err
+		return report, err
 	}
 	if _, err := io.Copy(io.Discard, answer.Body); err != nil {
-		return "", err
+		return report, err
 	}
 	if reader.Buffered() > 0 || answer.Close {
-		return "", errors.New("engine doesn't keep connections")
+		return report, errors.New("engine doesn't keep connections")
 	}
-	return report.Incarnation, conn.SetDeadline(time.Time{})
+	return report, conn.SetDeadline(time.Time{})
 }
 
-// Pinned is an engine whose prompts reach one incarnation only. All else is
-// for any.
+// Pinned is an engine whose prompts reach one pin only. All else is for any.
 type Pinned struct {
 	Engine
 	pinned Engine
 }
 
-// NewPinned returns the engine at addr, with prompts for that incarnation.
-func NewPinned(pins *Pins, addr netip.AddrPort, incarnation Incarnation) *Pinned {
+// NewPinned returns the engine at addr, with prompts for it as the pin says.
+func NewPinned(pins *Pins, addr netip.AddrPort, pin Pin) *Pinned {
 	base := "http://" + addr.String()
 	return &Pinned{
 		Engine: &HTTP{client: pins.client, base: base, dropIdle: pins.DropIdle},
-		pinned: &HTTP{client: pins.Client(time.Now(), addr, incarnation), base: base, dropIdle: pins.DropIdle},
+		pinned: &HTTP{client: pins.Client(time.Now(), addr, pin), base: base, dropIdle: pins.DropIdle},
 	}
 }
 
--- a/lavengine/pin_test.go
+++ b/lavengine/pin_test.go
@@ -13,6 +13,8 @@
 	"lavenderrack.example/lavenderrack/lavfake"
 	"lavenderrack.example/lavenderrack/lavfakenet"
 	"lavenderrack.example/lavenderrack/lavrequest"
+
+	"github.com/cockroachdb/errors"
 )
 
 var pinnedAddr = netip.MustParseAddrPort("10.1.0.1:8000")
@@ -32,9 +34,9 @@
 		go func() { _ = server.Serve(l) }()
 		client := &http.Client{Transport: &http.Transport{DialContext: n.Host(lavfakenet.Place{Host: "entry"}).DialContext}}
 		pins := lavengine.NewPins(client)
-		first := engine.Incarnation()
+		pin := lavengine.Pin{Incarnation: engine.Incarnation()}
 		submit := func(id lavrequest.ID) error {
-			e := lavengine.NewPinned(pins, pinnedAddr, first)
+			e := lavengine.NewPinned(pins, pinnedAddr, pin)
 			s, err := e.Submit(t.Context(), lavengine.Submission{ID: id, Model: "m", Prompt: strings.Repeat("abcd", 10_000), MaxTokens: 4})
 			if err != nil {
 				return err
@@ -59,3 +61,22 @@
 		engine.Close()
 	})
 }
+
+// TestPinnedToWarm guards against a prompt for a warm engine being sent on a new
+// connection to one that has turned cold meanwhile.
+func TestPinnedToWarm(t *testing.T) {
+	inSilentWorld(t, 1, func(t *testing.T, w *silentWorld) {
+		_, err := w.prompt(t.Context(), 0, "before")
+		lavassert.NoError(t, err)
+		w.pins.DropIdle()
+		w.engines[0].Chill()
+		_, err = w.prompt(t.Context(), 0, "warm")
+		lavassert.ErrorIs(t, err, lavengine.ErrNotSent)
+		lavassert.ErrorIs(t, err, lavengine.ErrTurnedCold)
+		lavassert.Equal(t, "prompts that arrived", w.engines[0].Counts().Submitted, 1)
+		w.cold = true
+		_, err = w.prompt(t.Context(), 0, "cold")
+		lavassert.True(t, "one for a cold engine is sent", !errors.Is(err, lavengine.ErrNotSent))
+		lavassert.Equal(t, "prompts that arrived", w.engines[0].Counts().Submitted, 2)
+	})
+}
--- a/lavengine/silence_test.go
+++ b/lavengine/silence_test.go
@@ -24,6 +24,8 @@
 	network *lavfakenet.Network
 	engines []*lavfake.Engine
 	pins    *lavengine.Pins
+	// cold is true if the entry host takes the engines to be cold.
+	cold bool
 }
 
 const entryName = "entry"
@@ -44,6 +46,7 @@
 		for i := range engines {
 			engine := lavfake.NewEngine(lavfake.EngineSettings{
 				MemoryTokens: 100_000, PrefillRate: 16_000, DecodeRate: 40, Step: 25 * time.Millisecond,
+				ColdLimit: 2, ColdTime: time.Minute,
 				Heartbeat: 500 * time.Millisecond, Models: []string{"m"},
 			})
 			l, err := w.network.Host(lavfakenet.Place{Host: rackName(i)}).Listen("tcp", rackAddr(i).String())
@@ -64,8 +67,11 @@
 // prompt runs a prompt at an engine and returns how long it took.
 func (w *silentWorld) prompt(ctx context.Context, i int, id lavrequest.ID) (time.Duration, error) {
 	began := time.Now()
-	e := lavengine.NewPinned(w.pins, rackAddr(i), w.engines[i].Incarnation())
+	e := lavengine.NewPinned(w.pins, rackAddr(i), lavengine.Pin{Incarnation: w.engines[i].Incarnation(), Cold: w.cold})
 	s, err := e.Submit(ctx, lavengine.Submission{ID: id, Model: "m", Prompt: "a till caption", MaxTokens: 4})
+	if err != nil {
+		return time.Since(began), err
+	}
 	for err == nil {
 		_, err = s.Next()
 	}
