Make no timer for a pause of no length

What was seen: go test -race ./lavnode crashed inside the race detector, about once in twenty runs beside load (CHECK failed at tsan_rtl.cpp:346, SIGSEGV). Evidence: a crash was caught with its stack: TestRecovery, a cut between failure domains; the thread was in selectgo, running the expired timer of pause(ctx, 0) in (*control).tellMembers, inside a testing/synctest bubble. A program of 20 lines without any of our code shows the rest: 16 goroutines of one bubble that wait on timers of 0 crash the detector in 5 of 5 runs within a second, with the same checks (tsan_rtl.cpp:282 and :346, tsan_sync.cpp:95); timers of 1 ns 0 of 5; timers of 0 outside a bubble 0 of 5; on one processor 0 of 5. So it is a fault of the toolchain: goroutines of one bubble that run expired timers at one time share a context of the detector. Change: one package for pauses, lavpause, in place of fifteen copies; a pause of no length makes no timer. The callers do as before.

--- a/lavburn/service.go
+++ b/lavburn/service.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"lavenderrack.example/lavenderrack/lavmesh"
+	"lavenderrack.example/lavenderrack/lavpause"
 )
 
 // Times of passing counts on. The pause grows with the fleet, so that what a
@@ -55,12 +56,8 @@
 	for {
 		pulled = pulled || s.pull(ctx)
 		size := s.PassOn()
-		timer := time.NewTimer(pause(len(s.peers())+1, size))
-		select {
-		case <-ctx.Done():
-			timer.Stop()
-			return ctx.Err()
-		case <-timer.C:
+		if err := lavpause.For(ctx, pause(len(s.peers())+1, size)); err != nil {
+			return err
 		}
 	}
 }
--- a/lavclient/call.go
+++ b/lavclient/call.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"time"
 
+	"lavenderrack.example/lavenderrack/lavpause"
 	"lavenderrack.example/lavenderrack/lavrequest"
 
 	"github.com/cockroachdb/errors"
@@ -93,7 +94,7 @@
 		if answer != nil {
 			_ = answer.Body.Close()
 		}
-		if !sleep(ctx, wait) {
+		if lavpause.For(ctx, wait) != nil {
 			return nil, ctx.Err()
 		}
 	}
@@ -136,15 +137,3 @@
 	}
 	return time.Duration(seconds) * time.Second
 }
-
-// sleep reports whether the wait ended before the context.
-func sleep(ctx context.Context, wait time.Duration) bool {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/lavclient/stream.go
+++ b/lavclient/stream.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"lavenderrack.example/lavenderrack/lavengine"
+	"lavenderrack.example/lavenderrack/lavpause"
 	"lavenderrack.example/lavenderrack/lavrequest"
 
 	"github.com/cockroachdb/errors"
@@ -201,7 +202,7 @@
 		}
 		s.body = answer.Body
 		f := failureOf(answer)
-		if f.RetryAfter == 0 || !sleep(s.ctx, f.RetryAfter) {
+		if f.RetryAfter == 0 || lavpause.For(s.ctx, f.RetryAfter) != nil {
 			return errors.CombineErrors(broken, f)
 		}
 	}
--- a/lavdemo/load.go
+++ b/lavdemo/load.go
@@ -12,6 +12,7 @@
 	"lavenderrack.example/lavenderrack/lavclient"
 	"lavenderrack.example/lavenderrack/lavfake"
 	"lavenderrack.example/lavenderrack/lavload"
+	"lavenderrack.example/lavenderrack/lavpause"
 )
 
 // Rates of the load, in requests a second over all customers.
@@ -68,12 +69,8 @@
 	const rate = promptRate + orderRate + lookupRate
 	for {
 		pause := time.Duration(random.ExpFloat64() / rate * float64(time.Second))
-		timer := time.NewTimer(pause)
-		select {
-		case <-ctx.Done():
-			timer.Stop()
+		if lavpause.For(ctx, pause) != nil {
 			return
-		case <-timer.C:
 		}
 		caller := l.callers[pickCustomer(random)]
 		switch at := random.Float64() * rate; {
--- a/lavdemo/script.go
+++ b/lavdemo/script.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"lavenderrack.example/lavenderrack/lavfake"
+	"lavenderrack.example/lavenderrack/lavpause"
 	"lavenderrack.example/lavenderrack/lavrelease"
 )
 
@@ -93,12 +94,8 @@
 	began := time.Now()
 	for _, a := range s.acts() {
 		at := began.Add(time.Duration(a.at * float64(length)))
-		timer := time.NewTimer(time.Until(at))
-		select {
-		case <-ctx.Done():
-			timer.Stop()
-			return ctx.Err()
-		case <-timer.C:
+		if err := lavpause.Until(ctx, at); err != nil {
+			return err
 		}
 		s.demo.say("%s", a.what)
 		if err := a.do(ctx); err != nil {
--- a/lavfake/storefault.go
+++ b/lavfake/storefault.go
@@ -5,6 +5,7 @@
 	"maps"
 	"time"
 
+	"lavenderrack.example/lavenderrack/lavpause"
 	"lavenderrack.example/lavenderrack/lavstore"
 
 	"golang.org/x/time/rate"
@@ -68,12 +69,8 @@
 		return err
 	}
 	if faults.Delay > 0 {
-		timer := time.NewTimer(faults.Delay)
-		defer timer.Stop()
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-timer.C:
+		if err := lavpause.For(ctx, faults.Delay); err != nil {
+			return err
 		}
 	}
 	if faults.Down {
--- a/lavfakenet/network.go
+++ b/lavfakenet/network.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"lavenderrack.example/lavenderrack/lavpause"
+
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 )
@@ -107,12 +109,8 @@
 	if blocked {
 		return h.redial(ctx, address)
 	}
-	timer := time.NewTimer(2 * link.Delay)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return nil, dialError(ctx.Err())
-	case <-timer.C:
+	if err := lavpause.For(ctx, 2*link.Delay); err != nil {
+		return nil, dialError(err)
 	}
 	return n.connect(h, l)
 }
@@ -122,14 +120,10 @@
 
 // redial waits and tries again, as the packets that open a connection do.
 func (h *Host) redial(ctx context.Context, address string) (net.Conn, error) {
-	timer := time.NewTimer(redialEvery)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return nil, dialError(ctx.Err())
-	case <-timer.C:
-		return h.DialContext(ctx, "tcp", address)
+	if err := lavpause.For(ctx, redialEvery); err != nil {
+		return nil, dialError(err)
 	}
+	return h.DialContext(ctx, "tcp", address)
 }
 
 func dialError(err error) error { return &net.OpError{Op: "dial", Net: "tcp", Err: err} }
--- a/lavhost/control.go
+++ b/lavhost/control.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"lavenderrack.example/lavenderrack/lavmirror"
+	"lavenderrack.example/lavenderrack/lavpause"
 	"lavenderrack.example/lavenderrack/lavstore"
 	"lavenderrack.example/lavenderrack/platform"
 
@@ -84,7 +85,7 @@
 			after = 0
 			continue
 		}
-		sleep(ctx, retryTime)
+		_ = lavpause.For(ctx, retryTime)
 	}
 	return ctx.Err()
 }
@@ -92,14 +93,14 @@
 // pause waits for the next call. A host that is no watcher waits for as long as
 // it hears of changes from one that is.
 func (c *control) pause(ctx context.Context) {
-	sleep(ctx, batchTime)
+	_ = lavpause.For(ctx, batchTime)
 	until := time.Now().Add(checkTime)
 	for ctx.Err() == nil && time.Now().Before(until) {
 		_, good := c.belief.check()
 		if !good || !c.told() {
 			return
 		}
-		sleep(ctx, lookTime)
+		_ = lavpause.For(ctx, lookTime)
 	}
 }
 
@@ -200,12 +201,3 @@
 	defer c.mu.Unlock()
 	return c.awaySince.IsZero() && !c.heard.IsZero() && time.Since(c.heard) < watchTime+callTime
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/lavhost/drain.go
+++ b/lavhost/drain.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"lavenderrack.example/lavenderrack/lavconfig"
+	"lavenderrack.example/lavenderrack/lavpause"
 )
 
 // Times of a planned stop.
@@ -76,6 +77,6 @@
 		if time.Since(begun) > lingerTime && i.running.Load() == 0 {
 			return
 		}
-		sleep(ctx, drainLook)
+		_ = lavpause.For(ctx, drainLook)
 	}
 }
--- a/lavhost/host.go
+++ b/lavhost/host.go
@@ -16,6 +16,7 @@
 	"lavenderrack.example/lavenderrack/lavmember"
 	"lavenderrack.example/lavenderrack/lavmesh"
 	"lavenderrack.example/lavenderrack/lavmirror"
+	"lavenderrack.example/lavenderrack/lavpause"
 	"lavenderrack.example/lavenderrack/lavrelay"
 	"lavenderrack.example/lavenderrack/lavretry"
 	"lavenderrack.example/lavenderrack/platform"
@@ -255,7 +256,7 @@
 // Serve implements suture.Service.
 func (s *sweeper) Serve(ctx context.Context) error {
 	for ctx.Err() == nil {
-		sleep(ctx, sweepTime)
+		_ = lavpause.For(ctx, sweepTime)
 		s.pool.Sweep(s.knowledge.Serves)
 	}
 	return ctx.Err()
--- a/lavhost/keeper.go
+++ b/lavhost/keeper.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"lavenderrack.example/lavenderrack/lavdatagram"
+	"lavenderrack.example/lavenderrack/lavpause"
 	"lavenderrack.example/lavenderrack/lavplan"
 )
 
@@ -22,7 +23,7 @@
 		if k.primary() {
 			k.tell(k.sum())
 		}
-		sleep(ctx, k.gather())
+		_ = lavpause.For(ctx, k.gather())
 	}
 }
 
--- a/lavhost/loads.go
+++ b/lavhost/loads.go
@@ -11,6 +11,7 @@
 	"lavenderrack.example/lavenderrack/lavfleet"
 	"lavenderrack.example/lavenderrack/lavmember"
 	"lavenderrack.example/lavenderrack/lavmesh"
+	"lavenderrack.example/lavenderrack/lavpause"
 	"lavenderrack.example/lavenderrack/lavplan"
 
 	"github.com/phuslu/log"
@@ -108,7 +109,7 @@
 		timer.Stop()
 		l.report()
 		// What changes meanwhile is told together.
-		sleep(ctx, l.gather())
+		_ = lavpause.For(ctx, l.gather())
 	}
 }
 
--- a/lavhost/membership.go
+++ b/lavhost/membership.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"lavenderrack.example/lavenderrack/lavmember"
+	"lavenderrack.example/lavenderrack/lavpause"
 	"lavenderrack.example/lavenderrack/lavstore"
 	"lavenderrack.example/lavenderrack/platform"
 
@@ -46,7 +47,7 @@
 			lease, written = "", lavmember.Member{}
 			continue
 		case err != nil:
-			sleep(ctx, retryTime)
+			_ = lavpause.For(ctx, retryTime)
 			continue
 		}
 		lease, written = next, entry
--- a/lavhost/peers.go
+++ b/lavhost/peers.go
@@ -12,6 +12,7 @@
 	"lavenderrack.example/lavenderrack/lavmember"
 	"lavenderrack.example/lavenderrack/lavmesh"
 	"lavenderrack.example/lavenderrack/lavmirror"
+	"lavenderrack.example/lavenderrack/lavpause"
 
 	"github.com/phuslu/log"
 )
@@ -230,7 +231,7 @@
 // after what the store says of them.
 func (p *peers) Serve(ctx context.Context) error {
 	for ctx.Err() == nil {
-		sleep(ctx, p.beatTime())
+		_ = lavpause.For(ctx, p.beatTime())
 		p.listed()
 		p.knowledge.tick(p.control.away(), p.sureOfStore())
 		p.sendBeat()
--- a/lavledger/ledger.go
+++ b/lavledger/ledger.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"lavenderrack.example/lavenderrack/lavpause"
 	"lavenderrack.example/lavenderrack/lavrequest"
 	"lavenderrack.example/lavenderrack/lavstep"
 	"lavenderrack.example/lavenderrack/lavstore"
@@ -248,12 +249,8 @@
 		if time.Now().After(found.Until) {
 			return Result{Outcome: lavrequest.OutcomeUnknown}
 		}
-		timer := time.NewTimer(pause/2 + rand.N(pause/2))
-		select {
-		case <-ctx.Done():
-			timer.Stop()
+		if lavpause.For(ctx, pause/2+rand.N(pause/2)) != nil {
 			return Result{Outcome: lavrequest.OutcomeUnknown}
-		case <-timer.C:
 		}
 		if lavstep.Reach(ctx, lavstep.LedgerReadBack, "") != nil {
 			continue
--- a/lavload/run.go
+++ b/lavload/run.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"lavenderrack.example/lavenderrack/lavclient"
+	"lavenderrack.example/lavenderrack/lavpause"
 	"lavenderrack.example/lavenderrack/lavrequest"
 	"lavenderrack.example/lavenderrack/lavscenario"
 
@@ -79,7 +80,7 @@
 	calls := context.WithoutCancel(ctx)
 	told := time.Duration(0)
 	for _, a := range r.options.Scenario.Plan(r.options.Seed) {
-		if !sleepUntil(ctx, r.began.Add(a.At)) {
+		if lavpause.Until(ctx, r.began.Add(a.At)) != nil {
 			return
 		}
 		if a.At-told >= progressEvery {
@@ -152,27 +153,15 @@
 // fault brings a fault about and takes it back, also if the run ends early.
 func (r *run) fault(ctx context.Context, f lavscenario.Fault) {
 	at := r.began.Add(time.Duration(f.At))
-	if !sleepUntil(ctx, at) {
+	if lavpause.Until(ctx, at) != nil {
 		return
 	}
 	err := r.options.Faults.Begin(ctx, f)
 	if err == nil && f.For > 0 {
-		sleepUntil(ctx, at.Add(time.Duration(f.For)))
+		_ = lavpause.Until(ctx, at.Add(time.Duration(f.For)))
 		err = r.options.Faults.End(context.WithoutCancel(ctx), f)
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.report.addFault(f, err)
 }
-
-// sleepUntil reports whether the time came before the context's end.
-func sleepUntil(ctx context.Context, at time.Time) bool {
-	timer := time.NewTimer(time.Until(at))
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/lavmember/follow.go
+++ b/lavmember/follow.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"time"
 
+	"lavenderrack.example/lavenderrack/lavpause"
 	"lavenderrack.example/lavenderrack/lavstore"
 )
 
@@ -78,12 +79,7 @@
 	case <-r.refresh:
 	}
 	spread := refreshPause + time.Duration(len(r.View().Members))*time.Second/hostsPerSpacing
-	pause := time.NewTimer(rand.N(spread))
-	defer pause.Stop()
-	select {
-	case <-ctx.Done():
-	case <-pause.C:
-	}
+	_ = lavpause.For(ctx, rand.N(spread))
 }
 
 // adopt takes over the members that the store lists.
--- a/lavnode/control.go
+++ b/lavnode/control.go
@@ -12,6 +12,7 @@
 	"lavenderrack.example/lavenderrack/lavfront"
 	"lavenderrack.example/lavenderrack/lavmember"
 	"lavenderrack.example/lavenderrack/lavmesh"
+	"lavenderrack.example/lavenderrack/lavpause"
 	"lavenderrack.example/lavenderrack/lavrelease"
 	"lavenderrack.example/lavenderrack/lavsettings"
 	"lavenderrack.example/lavenderrack/lavstore"
@@ -220,7 +221,7 @@
 	for {
 		changed := n.members.Changed()
 		if rank, watching := n.members.Rank(); watching {
-			pause(ctx, time.Duration(rank)*tellPause)
+			_ = lavpause.For(ctx, time.Duration(rank)*tellPause)
 		}
 		for _, d := range n.members.Pending() {
 			_, _ = n.mesh.Spread(lavmesh.TopicMember, d)
@@ -247,14 +248,5 @@
 // that name it have lapsed, but leaves half of the drain's time to the requests
 // that run.
 func (c *control) linger(drain time.Duration) {
-	pause(context.Background(), min(lavfront.EntryValidity+leaveMargin, drain/2))
-}
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
+	_ = lavpause.For(context.Background(), min(lavfront.EntryValidity+leaveMargin, drain/2))
 }
--- a/lavorder/executor.go
+++ b/lavorder/executor.go
@@ -7,6 +7,7 @@
 
 	"lavenderrack.example/lavenderrack/lavendpoint"
 	"lavenderrack.example/lavenderrack/lavengine"
+	"lavenderrack.example/lavenderrack/lavpause"
 	"lavenderrack.example/lavenderrack/lavrelease"
 	"lavenderrack.example/lavenderrack/lavstep"
 	"lavenderrack.example/lavenderrack/lavstore"
@@ -73,7 +74,7 @@
 	}()
 	for ctx.Err() == nil {
 		x.look(ctx)
-		pause(ctx, lookEvery)
+		_ = lavpause.For(ctx, lookEvery)
 	}
 	return <-followed
 }
--- a/lavorder/planner.go
+++ b/lavorder/planner.go
@@ -7,6 +7,7 @@
 
 	"lavenderrack.example/lavenderrack/lavendpoint"
 	"lavenderrack.example/lavenderrack/lavlease"
+	"lavenderrack.example/lavenderrack/lavpause"
 	"lavenderrack.example/lavenderrack/lavrelease"
 	"lavenderrack.example/lavenderrack/lavstep"
 	"lavenderrack.example/lavenderrack/lavstore"
@@ -62,7 +63,7 @@
 		if p.parts.Candidate() {
 			p.term(ctx)
 		}
-		pause(ctx, tryEvery)
+		_ = lavpause.For(ctx, tryEvery)
 	}
 	return ctx.Err()
 }
@@ -92,7 +93,7 @@
 		if err == nil {
 			plan = next
 		}
-		pause(ctx, planEvery)
+		_ = lavpause.For(ctx, planEvery)
 	}
 }
 
@@ -144,12 +145,3 @@
 	}
 	return next, err
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/lavrelease/follower.go
+++ b/lavrelease/follower.go
@@ -190,12 +190,3 @@
 	f.adopt(ctx, state, text, digest, kept)
 	return nil
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/lavrelease/restore.go
+++ b/lavrelease/restore.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"lavenderrack.example/lavenderrack/lavpause"
 	"lavenderrack.example/lavenderrack/lavstep"
 	"lavenderrack.example/lavenderrack/lavstore"
 
@@ -27,7 +28,7 @@
 // that this host holds back in the head. If operators have published upon the
 // older head meanwhile, their notes are applied to it as far as they can be.
 func (f *Follower) restore(ctx context.Context) error {
-	pause(ctx, rand.N(restoreSpread))
+	_ = lavpause.For(ctx, rand.N(restoreSpread))
 	if err := lavstep.Reach(ctx, lavstep.ReleaseRestore, headKey); err != nil {
 		return err
 	}
--- a/lavretry/backoff.go
+++ b/lavretry/backoff.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"time"
 
+	"lavenderrack.example/lavenderrack/lavpause"
+
 	"github.com/cockroachdb/errors"
 )
 
@@ -34,12 +36,5 @@
 	if ok && time.Until(deadline) <= pause {
 		return ErrDeadline
 	}
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
+	return lavpause.For(ctx, pause)
 }
--- a/lavstore/follow.go
+++ b/lavstore/follow.go
@@ -4,6 +4,8 @@
 	"context"
 	"math/rand/v2"
 	"time"
+
+	"lavenderrack.example/lavenderrack/lavpause"
 )
 
 // Waits of Follow.
@@ -25,7 +27,7 @@
 			err = take(ctx, entries)
 		}
 		if err != nil {
-			pause(ctx, retryPause+rand.N(retryPause))
+			_ = lavpause.For(ctx, retryPause+rand.N(retryPause))
 			continue
 		}
 		if revision < after {
@@ -33,19 +35,7 @@
 			revision = 0
 		}
 		after = revision
-		pause(ctx, spacing()-time.Since(began))
+		_ = lavpause.For(ctx, spacing()-time.Since(began))
 	}
 	return ctx.Err()
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
