Return a credit under the dispatcher's lock

Cause: done returned the credit before it took the lock, so that Serve assigned the next request by it while the ended one still counted.

--- a/lavdispatch/dispatcher.go
+++ b/lavdispatch/dispatcher.go
@@ -190,10 +190,12 @@
 	d.changed(now)
 }
 
+// done frees an assignment's place. The credit goes back under the lock, so that
+// no other request is assigned by it while this one still counts as running.
 func (d *Dispatcher) done(a *Assignment) {
-	d.parts.Credits.Return(a.Credit)
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.parts.Credits.Return(a.Credit)
 	now := time.Now()
 	d.flight.end(a)
 	d.flight.room(now, d.parts.Credits, a.Endpoint.Name)
