Log how a response was framed and what followed its last event

The lines of requests could not tell an answer that ended with its connection from one whose chunks were ended early: both read Done, without a failure. Framing and PartialBytes are logged for each request; nothing else changes.

--- a/lavconn/exchange.go
+++ b/lavconn/exchange.go
@@ -61,8 +61,8 @@
 type Response struct {
 	Status int
 	Header http.Header
-	// Length is the length of the body in bytes, or -1 if it is unknown.
-	Length int64
+	// Framing is how the end of the body is marked.
+	Framing Framing
 
 	conn *conn
 	body io.ReadCloser
@@ -139,13 +139,14 @@
 }
 
 func (c *conn) newResponse(head *http.Response) *Response {
+	framing := framingOf(head)
 	return &Response{
 		Status:   head.StatusCode,
 		Header:   head.Header,
-		Length:   head.ContentLength,
+		Framing:  framing,
 		conn:     c,
 		body:     head.Body,
-		reusable: !head.Close && (head.ContentLength >= 0 || len(head.TransferEncoding) > 0),
+		reusable: !head.Close && framing != FramingClose,
 	}
 }
 
--- a/lavrelay/attempt.go
+++ b/lavrelay/attempt.go
@@ -35,6 +35,7 @@
 		return t.afterNoResponse(ctx, err)
 	}
 	t.arrivals++
+	t.trace.recordResponse(response)
 	head := platform.DecodeResponse(response.Status, response.Header)
 	if head.NotRun {
 		response.Discard(head.IdleTimeout)
--- a/lavrelay/stream.go
+++ b/lavrelay/stream.go
@@ -53,6 +53,7 @@
 				return OutcomeLeft, nil
 			}
 		}
+		t.trace.partialBytes = len(t.events.partial)
 		switch {
 		case errors.Is(err, io.EOF):
 			return t.endStream(response)
--- a/lavrelay/trace.go
+++ b/lavrelay/trace.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"lavenderrack.example/lavenderrack/lavconn"
 	"lavenderrack.example/lavenderrack/lavfleet"
 	"lavenderrack.example/lavenderrack/lavplan"
 
@@ -27,6 +28,10 @@
 	firstEvent time.Duration
 	lastEvent  time.Time
 	longestGap time.Duration
+	// framing is that of the last response, and partialBytes the number of bytes that
+	// followed its last whole event.
+	framing      lavconn.Framing
+	partialBytes int
 }
 
 func (t *trace) recordAttempt(c *placement) {
@@ -42,6 +47,8 @@
 	t.loadAge = b.Age
 }
 
+func (t *trace) recordResponse(r *lavconn.Response) { t.framing, t.partialBytes = r.Framing, 0 }
+
 func (t *trace) recordError(err error) { t.failure = err.Error() }
 
 // recordWrite records the time at which bytes of a stream were sent to the caller.
@@ -80,6 +87,8 @@
 		Int("Runs", t.runs).
 		Int("Refusals", t.trace.refusals).
 		Int("Events", t.events.count).
+		Str("Framing", t.trace.framing.String()).
+		Int("PartialBytes", t.trace.partialBytes).
 		Dur("First", t.trace.firstEvent).
 		Dur("LongestPause", t.trace.longestGap).
 		Dur("Took", time.Since(t.call.Arrived)).
--- /dev/null
+++ b/lavrelay/trace_test.go
@@ -0,0 +1,42 @@
+package lavrelay
+
+import (
+	"bytes"
+	"context"
+	"net/netip"
+	"strings"
+	"testing"
+	"testing/synctest"
+
+	"lavenderrack.example/lavenderrack/lavassert"
+	"lavenderrack.example/lavenderrack/lavconfig"
+	"lavenderrack.example/lavenderrack/platform/standin"
+
+	"github.com/phuslu/log"
+)
+
+func TestLogNamesFramingAndPartialBytes(t *testing.T) {
+	tests := []struct {
+		name    string
+		handler standin.Handler
+		want    string
+	}{
+		{"Length", standin.Respond(200, "ok"), `"Framing":"Length","PartialBytes":0`},
+		{"Chunks", standin.Stream(standin.StreamEvents), `"Framing":"Chunks","PartialBytes":0`},
+		{"ChunksInsideEvent", standin.Stream(2), `"Framing":"Chunks","PartialBytes":5`},
+		{"CloseInsideEvent", standin.UnframedStream(2), `"Framing":"Close","PartialBytes":5`},
+		{"NoResponse", standin.CloseConnection, `"Framing":"None","PartialBytes":0`},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newFixture(test.handler)
+				var lines bytes.Buffer
+				b.relay.logger = &log.Logger{Level: log.InfoLevel, Writer: log.IOWriter{Writer: &lines}}
+				b.serve(context.Background(), b.call(lavconfig.KindStreaming))
+				lavassert.True(t, "log line has "+test.want, strings.Contains(lines.String(), test.want))
+				b.relay.pool.Sweep(func(netip.AddrPort) bool { return false })
+			})
+		})
+	}
+}
