--- a/lavrelay/relay_test.go
+++ b/lavrelay/relay_test.go
@@ -156,6 +156,7 @@
 		arrivals  int
 	}{
 		{"Whole", true, []standin.Handler{standin.Stream(6)}, false, standin.EventsUpTo(standin.StreamEvents), 1},
+		{"WholeUnframed", true, []standin.Handler{standin.UnframedStream(6)}, false, standin.EventsUpTo(standin.StreamEvents), 1},
 		{"Resumed", true, []standin.Handler{standin.Stream(2), standin.Stream(6)}, false, standin.EventsUpTo(standin.StreamEvents), 2},
 		{"BrokenTwice", true, []standin.Handler{standin.Stream(2), standin.Stream(4), standin.Stream(6)}, true, standin.EventsUpTo(4), 2},
 		{"NotResumable", false, []standin.Handler{standin.Stream(2), standin.Stream(6)}, true, standin.EventsUpTo(2), 1},
@@ -180,6 +181,39 @@
 	}
 }
 
+// TestTruncatedStreamIsNotComplete checks streams whose framing ends properly inside an event.
+func TestTruncatedStreamIsNotComplete(t *testing.T) {
+	whole := standin.EventsUpTo(standin.StreamEvents)
+	tests := []struct {
+		name      string
+		resumable bool
+		handlers  []standin.Handler
+		aborted   bool
+		body      string
+	}{
+		{"CloseResumed", true, []standin.Handler{standin.UnframedStream(2), standin.Stream(6)}, false, whole},
+		{"CloseNotResumable", false, []standin.Handler{standin.UnframedStream(2), standin.Stream(6)}, true, standin.EventsUpTo(2)},
+		{"CloseBrokenTwice", true, []standin.Handler{standin.UnframedStream(2), standin.UnframedStream(4)}, true, standin.EventsUpTo(4)},
+		{"ChunksResumed", true, []standin.Handler{standin.EndedStream(2), standin.Stream(6)}, false, whole},
+		{"ChunksNotResumable", false, []standin.Handler{standin.EndedStream(2)}, true, standin.EventsUpTo(2)},
+		{"FirstEvent", true, []standin.Handler{standin.UnframedStream(0), standin.Stream(6)}, false, whole},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newFixture(test.handlers...)
+				c := b.call(lavconfig.KindStreaming)
+				c.Route.Resumable = test.resumable
+				out := b.serve(context.Background(), c)
+				lavassert.Equal(t, "connection aborted", out.aborted, test.aborted)
+				lavassert.Equal(t, "body", out.Body.String(), test.body)
+				b.assertNoLoad(t)
+				b.relay.pool.Sweep(func(netip.AddrPort) bool { return false })
+			})
+		})
+	}
+}
+
 // streamAfter returns a handler that sends a complete stream after a silence.
 func streamAfter(silence time.Duration) standin.Handler {
 	return func(c net.Conn, r *http.Request) {
