Don't take the end of a connection for the end of a stream

Cause: endStream took the end of the body as the end of the answer. For an answer with a length or chunks, lavconn proves that end; an answer with neither ends with its connection, so that a crash of the engine reads the same. The rest after the last event was even forwarded, and the host's own chunks closed the answer.

Evidence: the hosts' lines say Done, without a failure, for each of the streams; TestTruncatedStreamIsNotComplete failed for all of its cases (NoEvent, added here, too: checked on the code before).

Fix: the events decide whether a stream is complete, whatever the framing. One that ends inside an event, or with its connection before the first event, is an answer lost: it goes on at another endpoint where the route allows that, and otherwise the caller's connection is aborted.

--- a/lavrelay/events.go
+++ b/lavrelay/events.go
@@ -59,5 +59,9 @@
 	}
 }
 
+// truncated reports whether the stream would end inside an event if it ended now. Only
+// blank lines may follow the last event.
+func (e *events) truncated() bool { return len(bytes.Trim(e.partial, "\r\n")) > 0 }
+
 // discardPartial drops the beginning of an event whose end will not be received.
 func (e *events) discardPartial() { e.partial = nil }
--- a/lavrelay/relay_test.go
+++ b/lavrelay/relay_test.go
@@ -197,6 +197,7 @@
 		{"ChunksResumed", true, []standin.Handler{standin.EndedStream(2), standin.Stream(6)}, false, whole},
 		{"ChunksNotResumable", false, []standin.Handler{standin.EndedStream(2)}, true, standin.EventsUpTo(2)},
 		{"FirstEvent", true, []standin.Handler{standin.UnframedStream(0), standin.Stream(6)}, false, whole},
+		{"NoEvent", true, []standin.Handler{standin.UnframedHead, standin.Stream(6)}, false, whole},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
--- a/lavrelay/stream.go
+++ b/lavrelay/stream.go
@@ -15,6 +15,10 @@
 // streamBufferBytes is enough for several events.
 const streamBufferBytes = 4 << 10
 
+// errStreamTruncated means that a stream ended where it can't be complete, although its
+// framing ended properly.
+var errStreamTruncated = errors.New("stream is truncated")
+
 // errCallerDisconnected means that the caller accepts no more bytes.
 var errCallerDisconnected = errors.New("caller disconnected")
 
@@ -56,7 +60,7 @@
 		t.trace.partialBytes = len(t.events.partial)
 		switch {
 		case errors.Is(err, io.EOF):
-			return t.endStream(response)
+			return t.endStream(response, seenEvent)
 		case err != nil:
 			return 0, t.streamError(ctx, err)
 		}
@@ -71,8 +75,14 @@
 	return err
 }
 
-// endStream forwards the bytes after the last complete event of a stream that has ended.
-func (t *task) endStream(response *lavconn.Response) (Outcome, error) {
+// endStream ends the response to the caller after the end of an endpoint's stream. The
+// framing doesn't show that a stream is complete: a connection may end, and chunks may be
+// ended, at any byte. A stream that ends inside an event, or with its connection before
+// the first event, is truncated.
+func (t *task) endStream(response *lavconn.Response, seenEvent bool) (Outcome, error) {
+	if t.events.truncated() || !seenEvent && response.Framing == lavconn.FramingClose {
+		return 0, errors.Mark(errStreamTruncated, lavconn.ErrResponseLost)
+	}
 	partial := t.events.partial
 	t.events.discardPartial()
 	if t.forwardBytes(response, partial) != nil {
