Treat a truncated reply to a store write as lost in lavstore too

The same fault as in platform/: a reply cut short by the end of its connection read as a conflict, that is, as not written, and one to a new lease as an error that didn't say that the lease may exist.

TestTruncatedReplyOfWrite failed for all three writes on the code before. Only "false" is a conflict now.

--- a/lavstore/http.go
+++ b/lavstore/http.go
@@ -91,8 +91,8 @@
 	if err != nil {
 		return 0, lavstep.Wrap(err, lavstep.StoreWrite, key)
 	}
-	if strings.TrimSpace(string(body)) != "true" {
-		return 0, lavstep.Wrap(ErrConflict, lavstep.StoreWrite, key)
+	if err := decodeWritten(body); err != nil {
+		return 0, lavstep.Wrap(err, lavstep.StoreWrite, key)
 	}
 	if revision := revisionFrom(header); revision > 0 {
 		return revision, nil
@@ -118,10 +118,20 @@
 	if err != nil {
 		return lavstep.Wrap(err, lavstep.StoreWrite, key)
 	}
-	if strings.TrimSpace(string(body)) != "true" {
-		return lavstep.Wrap(ErrConflict, lavstep.StoreWrite, key)
+	return lavstep.Wrap(decodeWritten(body), lavstep.StoreWrite, key)
+}
+
+// decodeWritten decodes the reply to a conditional write. A truncated reply doesn't say
+// whether the write took effect.
+func decodeWritten(body []byte) error {
+	switch strings.TrimSpace(string(body)) {
+	case "true":
+		return nil
+	case "false":
+		return ErrConflict
+	default:
+		return errors.Mark(errors.Newf("reply %.20q to a write", body), ErrOutcomeUnknown)
 	}
-	return nil
 }
 
 // Grant implements Store.
@@ -136,7 +146,7 @@
 	}
 	var created session
 	if err := json.Unmarshal(body, &created); err != nil {
-		return "", lavstep.Wrap(err, lavstep.StoreLease, "")
+		return "", lavstep.Wrap(errors.Mark(err, ErrOutcomeUnknown), lavstep.StoreLease, "")
 	}
 	return created.ID, nil
 }
--- a/lavstore/http_test.go
+++ b/lavstore/http_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"context"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -50,6 +52,41 @@
 	return rev
 }
 
+// TestTruncatedReplyOfWrite checks replies that end with their connection too early.
+func TestTruncatedReplyOfWrite(t *testing.T) {
+	truncate := func(http.Handler) http.Handler {
+		return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			c, _, err := http.NewResponseController(w).Hijack()
+			if err != nil {
+				return
+			}
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\ntr")
+			_ = c.Close()
+		})
+	}
+	tests := []struct {
+		name  string
+		write func(ctx context.Context, s lavstore.Store) error
+	}{
+		{"CompareAndSwap", func(ctx context.Context, s lavstore.Store) error {
+			_, err := s.CompareAndSwap(ctx, "k", 0, nil, "")
+			return err
+		}},
+		{"Delete", func(ctx context.Context, s lavstore.Store) error { return s.Delete(ctx, "k", 1) }},
+		{"Grant", func(ctx context.Context, s lavstore.Store) error {
+			_, err := s.Grant(ctx, time.Minute)
+			return err
+		}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			withHTTPStore(t, truncate, func(t *testing.T, _ *lavfake.Store, s lavstore.Store) {
+				lavassert.ErrorIs(t, test.write(t.Context(), s), lavstore.ErrOutcomeUnknown)
+			})
+		})
+	}
+}
+
 func TestHTTP(t *testing.T) {
 	t.Run("keys with special characters are stored unchanged", func(t *testing.T) {
 		withHTTPStore(t, nil, func(t *testing.T, _ *lavfake.Store, s lavstore.Store) {
