Reset the connection of an aborted HTTP/1.0 response

Found by reading; the platform's callers use HTTP/1.1.

TestAbortedResponseIsNotComplete/HTTP1.0 failed on the code before; HTTP1.1 passed.

--- a/lavhost/ingress.go
+++ b/lavhost/ingress.go
@@ -163,10 +163,11 @@
 			PauseObjective:  route.PauseObjective,
 			Retried:         isRetry,
 		},
-		LastEvent:   request.LastEvent,
-		Deadline:    deadline(arrived, request.Timeout, route.Timeout),
-		Arrived:     arrived,
-		Fingerprint: fingerprint(r, request, body),
+		LastEvent:     request.LastEvent,
+		FramedByClose: !r.ProtoAtLeast(1, 1),
+		Deadline:      deadline(arrived, request.Timeout, route.Timeout),
+		Arrived:       arrived,
+		Fingerprint:   fingerprint(r, request, body),
 	}
 }
 
--- a/lavrelay/call.go
+++ b/lavrelay/call.go
@@ -23,6 +23,9 @@
 	Prompt lavplan.Prompt
 	// LastEvent is the ID of the event after which the caller resumes a stream.
 	LastEvent string
+	// FramedByClose is true if the end of the connection marks the end of the response to
+	// the caller, as in HTTP/1.0.
+	FramedByClose bool
 	// Deadline is when the caller must have the response.
 	Deadline time.Time
 	// Arrived is when the request arrived.
--- a/lavrelay/relay.go
+++ b/lavrelay/relay.go
@@ -276,7 +276,7 @@
 		return
 	}
 	if t.headSent || o == OutcomeLeft {
-		panic(http.ErrAbortHandler)
+		abort(t.out, t.call.FramedByClose)
 	}
 	platform.SetRefusalHeaders(t.out.Header(), t.call.ID, t.retryAfterFor(o))
 	t.out.WriteHeader(t.status(o))
