Poll an endpoint soon after its report was missed

What was seen: a host that missed two changes of an endpoint in a row saw the second one after 5.05 s, where 5 s are allowed (TestTable, 4 of 200 runs).

Cause: the poll that a missed report asks for was held back by the pause between fallback polls, 2 s to 3 s since the poll that found the first change.

--- a/lavendpoint/sharing.go
+++ b/lavendpoint/sharing.go
@@ -153,12 +153,28 @@
 		name := state.Endpoints[l.Index].Name
 		last := t.reports[name]
 		if last.report.Incarnation == "" || staticDigest(&last.report) != l.Kind {
-			// This host has missed the full report that the load belongs to. A zero
-			// poll time makes the host poll the endpoint itself.
-			last.polledAt = time.Time{}
-			t.reports[name] = last
+			t.recordMissedReport(name, l.Kind, now)
 			continue
 		}
+		delete(t.missed, name)
 		t.reports[name] = polledReport{report: l.applyTo(last.report, now), polledAt: sent.Add(-batch.pollAge(i))}
 	}
 }
+
+// recordMissedReport records that this host has missed the full report with the digest
+// kind, and makes it poll the endpoint itself. The first load that shows this brings the
+// poll forward, whenever the last one was: the endpoint may have turned cold. The delay
+// is random, because many hosts may have missed the same report. The caller holds t.mu.
+func (t *Table) recordMissedReport(name string, kind uint32, now time.Time) {
+	last := t.reports[name]
+	last.polledAt = time.Time{}
+	t.reports[name] = last
+	if t.missed[name] == kind {
+		return
+	}
+	t.missed[name] = kind
+	due := now.Add(rand.N(pollInterval))
+	if earliest := t.lastPolled[name].Add(fallbackPollInterval); due.Before(earliest) {
+		t.lastPolled[name] = due.Add(-fallbackPollInterval)
+	}
+}
--- a/lavendpoint/table.go
+++ b/lavendpoint/table.go
@@ -43,9 +43,11 @@
 	changed     chan struct{}
 	// inFlight holds the endpoints that are being polled. lastPolled is the time of
 	// this host's last poll of each endpoint. For an endpoint of another owner,
-	// jitter may set it later than the poll.
+	// jitter may set it later than the poll, and a missed report earlier. missed holds
+	// the digest of the missed report of each endpoint.
 	inFlight   map[string]bool
 	lastPolled map[string]time.Time
+	missed     map[string]uint32
 	// sentReports holds the last full report sent for each endpoint that this host
 	// owns. loadsSentAt is when load updates were last sent. pendingHostChanges are
 	// the host list changes yet to be sent.
@@ -79,6 +81,7 @@
 		changed:     make(chan struct{}),
 		inFlight:    make(map[string]bool),
 		lastPolled:  make(map[string]time.Time),
+		missed:      make(map[string]uint32),
 		sentReports: make(map[string]polledReport),
 	}
 	t.snapshot.Store(&Snapshot{})
@@ -248,6 +251,7 @@
 		if _, known := current[name]; !known {
 			delete(t.reports, name)
 			delete(t.lastPolled, name)
+			delete(t.missed, name)
 			delete(t.sentReports, name)
 		}
 	}
