Don't take an engine for warm that doesn't answer

What callers saw: a gang's prompt was sent to an engine that had turned cold 1.0 to 1.5 s before; the engine fell over, and what ran there was broken off.

Cause: a question whether the engine is still warm that got no answer in 300 ms counted as warm. On a path that loses packets the next call gets through all the same.

The new test of TestGang failed for a lost question at each of its steps, and passes now.

--- a/lavgang/gang_test.go
+++ b/lavgang/gang_test.go
@@ -44,6 +44,17 @@
 	// staleUntil, whatever the engines report.
 	staleSnapshot *lavendpoint.Snapshot
 	staleUntil    time.Time
+	// silentUntil is when engines answer again the question whether they are cold.
+	silentUntil time.Time
+}
+
+// confirm returns the load report of an engine unless engines are silent.
+func (tc *testCluster) confirm(ctx context.Context, e *lavendpoint.Endpoint) (lavengine.LoadReport, error) {
+	if time.Now().Before(tc.silentUntil) {
+		time.Sleep(300 * time.Millisecond)
+		return lavengine.LoadReport{}, context.DeadlineExceeded
+	}
+	return tc.rack.Confirm(ctx, e)
 }
 
 // Snapshot returns the entry host's view of the engines.
@@ -79,7 +90,7 @@
 		tc.runner = lavgang.NewRunner(lavgang.Config{
 			Endpoints: tc,
 			Engine:    tc.rack.Dial(tc.rack.Client(entryHost)),
-			Confirm:   tc.rack.Confirm,
+			Confirm:   tc.confirm,
 			Live:      tc.activeStreams,
 			Suspects:  lavretry.NewSuspects(lavfake.NewStore(), lavretry.NoPeers{}),
 			Scope:     tc.scope,
@@ -151,6 +162,29 @@
 	})
 }
 
+// checkNoColdOverload runs a gang whose engines turn cold at the nth checkpoint, just after
+// disturb was called. It checks that the answer is complete and no engine was overloaded.
+func (tc *testCluster) checkNoColdOverload(t *testing.T, nth int, disturb func()) {
+	t.Helper()
+	ctx := atStep(t.Context(), lavstep.GangCheckpoint, nth, func(string) error {
+		disturb()
+		for i, e := range tc.rack.Engines {
+			if i%2 == 0 && e.ReservationCount() > 0 {
+				e.MakeCold()
+			}
+		}
+		return nil
+	})
+	job, answer := newJob(prompt(), 5*time.Minute)
+	_, err := tc.run(ctx, job)
+	lavassert.NoError(t, err)
+	tc.checkAnswer(t, job, answer)
+	for i, e := range tc.rack.Engines {
+		lavassert.Equal(t, fmt.Sprint("cold overloads of ", i), e.Counts().ColdOverloads, 0)
+	}
+	lavassert.Equal(t, "streams and reservations left", tc.memoryHolders(), 0)
+}
+
 func TestGang(t *testing.T) {
 	t.Run("a prompt longer than any engine's memory is answered completely", func(t *testing.T) {
 		withCluster(t, 8, func(t *testing.T, tc *testCluster) {
@@ -201,27 +235,20 @@
 		t.Run(fmt.Sprintf("an engine that turns cold gets no more work, with load reports late by %v", lag), func(t *testing.T) {
 			for _, nth := range []int{1, 5, 7} {
 				withCluster(t, 8, func(t *testing.T, tc *testCluster) {
-					ctx := atStep(t.Context(), lavstep.GangCheckpoint, nth, func(string) error {
-						tc.freezeSnapshot(lag)
-						for i, e := range tc.rack.Engines {
-							if i%2 == 0 && e.ReservationCount() > 0 {
-								e.MakeCold()
-							}
-						}
-						return nil
-					})
-					job, answer := newJob(prompt(), 5*time.Minute)
-					_, err := tc.run(ctx, job)
-					lavassert.NoError(t, err)
-					tc.checkAnswer(t, job, answer)
-					for i, e := range tc.rack.Engines {
-						lavassert.Equal(t, fmt.Sprint("cold overloads of ", i), e.Counts().ColdOverloads, 0)
-					}
-					lavassert.Equal(t, "streams and reservations left", tc.memoryHolders(), 0)
+					tc.checkNoColdOverload(t, nth, func() { tc.freezeSnapshot(lag) })
 				})
 			}
 		})
 	}
+	// Guards against taking an engine for warm because the question whether it is
+	// cold was lost on the way.
+	t.Run("an engine that turns cold and can't be asked gets no more work", func(t *testing.T) {
+		for _, nth := range []int{1, 5, 7} {
+			withCluster(t, 8, func(t *testing.T, tc *testCluster) {
+				tc.checkNoColdOverload(t, nth, func() { tc.silentUntil = time.Now().Add(time.Second) })
+			})
+		}
+	})
 	t.Run("a prompt that kills engines is quarantined after two deaths", func(t *testing.T) {
 		withCluster(t, 8, func(t *testing.T, tc *testCluster) {
 			for range 3 {
--- a/lavgang/prefill.go
+++ b/lavgang/prefill.go
@@ -19,6 +19,8 @@
 	// take longer than at an idle engine.
 	maxSegmentSlowdown = 20
 	minSegmentTimeout  = 20 * time.Second
+	// maxConfirmTime is how long an engine may not answer before its part is lost.
+	maxConfirmTime = 2 * time.Second
 )
 
 // prefill prefills the remaining segments except the last one, which decode
@@ -31,8 +33,8 @@
 			return &lavqueue.Refusal{Reason: lavqueue.ReasonDeadline}
 		}
 		p := r.parts[r.plan.PartIndex(r.nextSegment)]
-		if r.turnedCold(ctx, p) {
-			return r.abandonPart(p)
+		if err := r.checkWarm(ctx, p); err != nil {
+			return err
 		}
 		if err := r.prefillSegment(ctx, p); err != nil {
 			r.recordFailure(ctx, p)
@@ -42,13 +44,31 @@
 	return nil
 }
 
-// turnedCold reports whether an engine has turned cold since its part was
-// reserved. A part may hold more memory than the engine's cold limit allows, so
-// a cold engine must get no more work. If the engine doesn't answer, turnedCold
-// returns false, because the next call to the engine will then fail.
-func (r *promptRun) turnedCold(ctx context.Context, p *part) bool {
-	report, err := r.Runner.parts.Confirm(ctx, p.endpoint)
-	return err == nil && report.Cold
+// checkWarm returns an error if an engine has turned cold since its part was reserved, or
+// can't be asked. A part may hold more memory than the engine's cold limit allows, so the
+// engine must get no more work unless it is known to be warm.
+func (r *promptRun) checkWarm(ctx context.Context, p *part) error {
+	report, err := r.confirm(ctx, p)
+	switch {
+	case err != nil:
+		r.recordFailure(ctx, p)
+		return markBroken(ctx, lavstep.Wrap(err, lavstep.GangSegment, p.endpoint.Name))
+	case report.Cold:
+		return r.abandonPart(p)
+	}
+	return nil
+}
+
+// confirm asks for a recent load report of an engine. It asks again for up to
+// maxConfirmTime if no answer comes, because a lossy path may lose one.
+func (r *promptRun) confirm(ctx context.Context, p *part) (lavengine.LoadReport, error) {
+	end := time.Now().Add(maxConfirmTime)
+	for {
+		report, err := r.Runner.parts.Confirm(ctx, p.endpoint)
+		if !errors.Is(err, context.DeadlineExceeded) || ctx.Err() != nil || time.Now().After(end) {
+			return report, err
+		}
+	}
 }
 
 // abandonPart gives up a part at an engine that has turned cold, so that another
@@ -148,8 +168,8 @@
 		r.recordFailure(ctx, p)
 		return err
 	}
-	if r.turnedCold(ctx, p) {
-		return r.abandonPart(p)
+	if err := r.checkWarm(ctx, p); err != nil {
+		return err
 	}
 	source := &lavstream.EngineStream{Engine: p.engine, Endpoint: p.endpoint.Name, Incarnation: p.incarnation, ID: r.job.Request.ID}
 	start := time.Now()
