Notice that the store has come back from an older copy

What would have been seen in the users' new drill, by test: later versions of the desired state were ignored until the store's revision passed the one before the drill; a watch went on from a revision that was given out again, without the changes below it; a lease that is another host's now was renewed; evacuations and endpoints that the operators don't write again stayed forever.

Cause: revisions and leases were taken as never going back.

--- a/lavhost/clusterstate.go
+++ b/lavhost/clusterstate.go
@@ -33,7 +33,9 @@
 	logger *log.Logger
 	index  atomic.Pointer[lavconfig.Index]
 
-	mu        sync.Mutex
+	mu sync.Mutex
+	// config is the entry of the desired state in force.
+	config    lavmirror.Entry
 	endpoints map[string]lavconfig.Endpoint
 	// missing holds endpoints whose entries disappeared while the store was
 	// unavailable or had just recovered, with the time at which they are
@@ -41,7 +43,11 @@
 	missing map[string]time.Time
 	// evacuated holds the failure domains that are out of service.
 	evacuated map[string]bool
-	members   map[string]lavmember.Member
+	// lostEvacuations holds the evacuated failure domains whose entries disappeared
+	// with an era, with the time at which they return to service.
+	lostEvacuations map[string]time.Time
+	members         map[string]lavmember.Member
+	eras            eraTracker
 	// entryDigests holds the hashes of the relevant entries by key, and digest
 	// is the XOR of all of them.
 	entryDigests map[string]uint64
@@ -50,14 +56,15 @@
 
 func newClusterState(mirror *lavmirror.Mirror, fleet *lavfleet.Fleet, logger *log.Logger) *clusterState {
 	return &clusterState{
-		mirror:       mirror,
-		fleet:        fleet,
-		logger:       logger,
-		endpoints:    make(map[string]lavconfig.Endpoint),
-		missing:      make(map[string]time.Time),
-		evacuated:    make(map[string]bool),
-		members:      make(map[string]lavmember.Member),
-		entryDigests: make(map[string]uint64),
+		mirror:          mirror,
+		fleet:           fleet,
+		logger:          logger,
+		endpoints:       make(map[string]lavconfig.Endpoint),
+		missing:         make(map[string]time.Time),
+		evacuated:       make(map[string]bool),
+		lostEvacuations: make(map[string]time.Time),
+		members:         make(map[string]lavmember.Member),
+		entryDigests:    make(map[string]uint64),
 	}
 }
 
@@ -111,13 +118,13 @@
 // false, a removed entry may have expired only because the store was
 // unavailable, and its endpoint stays in service for recoveryGrace.
 func (s *clusterState) apply(entries []lavmirror.Entry, removalsFinal bool) []lavmirror.Entry {
-	return s.merge(s.mirror.Apply(entries), removalsFinal)
+	return s.merge(s.mirror.Apply(s.keepNewerConfig(entries)), removalsFinal)
 }
 
 // replace merges a complete listing at a revision, and otherwise works like
 // apply.
 func (s *clusterState) replace(entries []lavmirror.Entry, at lavstore.Revision, removalsFinal bool) []lavmirror.Entry {
-	return s.merge(s.mirror.ApplySnapshot(entries, at), removalsFinal)
+	return s.merge(s.mirror.ApplySnapshot(s.keepNewerConfig(entries), at), removalsFinal)
 }
 
 // merge decodes entries that are newer than those known before and returns the
@@ -125,6 +132,8 @@
 func (s *clusterState) merge(changed []lavmirror.Entry, removalsFinal bool) []lavmirror.Entry {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.recordEra(changed)
+	removalsFinal = removalsFinal && s.eras.settled(time.Now())
 	var relevant []lavmirror.Entry
 	for _, e := range changed {
 		if s.mergeEntry(e, removalsFinal) {
@@ -169,14 +178,19 @@
 		return
 	}
 	s.index.Store(lavconfig.NewIndex(desired))
+	s.config = e
 	s.logger.Info().Uint64("Version", uint64(desired.Version)).Uint64("Revision", uint64(e.Revision)).
 		Int("Routes", len(desired.Routes)).Msg("applied desired state")
 }
 
 func (s *clusterState) mergeEvacuation(domain string, evacuated bool) {
-	if evacuated {
+	delete(s.lostEvacuations, domain)
+	switch {
+	case evacuated:
 		s.evacuated[domain] = true
-	} else {
+	case s.evacuated[domain] && !s.eras.settled(time.Now()):
+		s.lostEvacuations[domain] = time.Now().Add(recoveryGrace)
+	default:
 		delete(s.evacuated, domain)
 	}
 	s.logger.Info().Str("FailureDomain", domain).Bool("Out", evacuated).Msg("failure domain")
@@ -276,13 +290,14 @@
 	s.fleet.Update(services, endpoints, evacuated)
 }
 
-// dropMissing drops missing endpoints whose entries have not come back within
-// recoveryGrace, or all missing endpoints if removals are final. While the
-// store is unavailable no endpoint is dropped for its age.
+// dropMissing drops missing endpoints and lost evacuations whose entries have not come back
+// within recoveryGrace, or all missing endpoints if removals are final. While the store is
+// unavailable nothing is dropped for its age.
 func (s *clusterState) dropMissing(storeUnavailable, removalsFinal bool) {
 	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	removalsFinal = removalsFinal && s.eras.settled(now)
 	dropped := false
 	for id, until := range s.missing {
 		if removalsFinal || !storeUnavailable && now.After(until) {
@@ -292,6 +307,14 @@
 			s.logger.Info().Str("Endpoint", id).Msg("endpoint has not come back")
 		}
 	}
+	for domain, until := range s.lostEvacuations {
+		if !storeUnavailable && now.After(until) {
+			delete(s.lostEvacuations, domain)
+			delete(s.evacuated, domain)
+			dropped = true
+			s.logger.Info().Str("FailureDomain", domain).Msg("evacuation has not come back")
+		}
+	}
 	if dropped {
 		s.updateFleet()
 	}
