--- /dev/null
+++ b/lavhost/heartbeat.go
@@ -0,0 +1,95 @@
+package lavhost
+
+import (
+	"context"
+	"time"
+
+	"lavenderrack.example/lavenderrack/lavmember"
+	"lavenderrack.example/lavenderrack/lavmesh"
+)
+
+// heartbeat is the message that a host sends to all peers at regular intervals.
+type heartbeat struct {
+	// Member is the sender's member entry. Most heartbeats omit it, since the
+	// peers know it already.
+	Member *lavmember.Member `cbor:"1,keyasint,omitempty"`
+	// Digest is the hash of the sender's entries. Good is true if the sender's
+	// replica is confirmed, so that the sender acts on it.
+	Digest uint64 `cbor:"2,keyasint"`
+	Good   bool   `cbor:"3,keyasint"`
+	// InContact is true if the store has answered the sender recently.
+	InContact bool `cbor:"4,keyasint,omitempty"`
+	// ContinuousContact is true if the sender has been in continuous contact
+	// with the store.
+	ContinuousContact bool `cbor:"5,keyasint,omitempty"`
+	// Incarnation identifies the sender.
+	Incarnation string `cbor:"6,keyasint"`
+}
+
+// heartbeatsPerMember is how many heartbeats a host sends for each one that
+// carries its unchanged member entry.
+const heartbeatsPerMember = 3
+
+// heartbeatInterval returns the time between two heartbeats for the current
+// fleet.
+func (p *peers) heartbeatInterval() time.Duration {
+	hosts := time.Duration(len(p.View().Members))
+	return min(heartbeatInterval*max(hosts, heartbeatBaseHosts)/heartbeatBaseHosts, maxHeartbeatInterval)
+}
+
+func (p *peers) sendHeartbeat() {
+	_, confirmed := p.confirmation.check()
+	b := heartbeat{
+		Incarnation:       p.Self().Incarnation,
+		Member:            p.selfForHeartbeat(),
+		Digest:            p.state.Digest(),
+		Good:              confirmed,
+		InContact:         p.follower.inContact(),
+		ContinuousContact: p.follower.continuousContact(),
+	}
+	if _, err := p.mesh.Broadcast(lavmesh.TopicBeat, b); err != nil {
+		p.logger.Warn().Err(err).Msg("failed to send heartbeat")
+	}
+}
+
+// selfForHeartbeat returns this host's member entry if the next heartbeat must
+// carry it, and nil otherwise. The entry is sent when it has changed, and
+// regularly for peers that have joined since.
+func (p *peers) selfForHeartbeat() *lavmember.Member {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.heartbeatsSinceSelf++
+	if p.self == p.lastSentSelf && p.heartbeatsSinceSelf < heartbeatsPerMember {
+		return nil
+	}
+	p.lastSentSelf, p.heartbeatsSinceSelf = p.self, 0
+	self := p.self
+	return &self
+}
+
+// handleHeartbeat handles a heartbeat from a peer. A heartbeat without a member
+// entry is ignored if its sender is unknown.
+func (p *peers) handleHeartbeat(_ context.Context, _ string, body []byte) (any, error) {
+	var b heartbeat
+	if err := lavmesh.Decode(body, &b); err != nil {
+		return nil, err
+	}
+	digest := p.state.Digest()
+	now := time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	known := p.byIncarnation[b.Incarnation]
+	if b.Member != nil {
+		known = p.upsert(*b.Member)
+	}
+	if known == nil {
+		return nil, nil
+	}
+	known.lastHeartbeat, known.confirmed, known.inContact, known.continuousContact = now, b.Good, b.InContact, b.ContinuousContact
+	if b.Digest == digest {
+		known.differsSince = time.Time{}
+	} else if known.differsSince.IsZero() {
+		known.differsSince = now
+	}
+	return nil, nil
+}
--- a/lavhost/peers.go
+++ b/lavhost/peers.go
@@ -11,7 +11,6 @@
 	"lavenderrack.example/lavenderrack/lavfleet"
 	"lavenderrack.example/lavenderrack/lavmember"
 	"lavenderrack.example/lavenderrack/lavmesh"
-	"lavenderrack.example/lavenderrack/lavmirror"
 	"lavenderrack.example/lavenderrack/lavpause"
 
 	"github.com/phuslu/log"
@@ -56,37 +55,6 @@
 	DialTimeout:  500 * time.Millisecond,
 }
 
-// heartbeat is the message that a host sends to all peers at regular intervals.
-type heartbeat struct {
-	// Member is the sender's member entry. Most heartbeats omit it, since the
-	// peers know it already.
-	Member *lavmember.Member `cbor:"1,keyasint,omitempty"`
-	// Digest is the hash of the sender's entries. Good is true if the sender's
-	// replica is confirmed, so that the sender acts on it.
-	Digest uint64 `cbor:"2,keyasint"`
-	Good   bool   `cbor:"3,keyasint"`
-	// InContact is true if the store has answered the sender recently.
-	InContact bool `cbor:"4,keyasint,omitempty"`
-	// ContinuousContact is true if the sender has been in continuous contact
-	// with the store.
-	ContinuousContact bool `cbor:"5,keyasint,omitempty"`
-	// Incarnation identifies the sender.
-	Incarnation string `cbor:"6,keyasint"`
-}
-
-// heartbeatsPerMember is how many heartbeats a host sends for each one that
-// carries its unchanged member entry.
-const heartbeatsPerMember = 3
-
-// entryUpdate is the message that sends changed entries to all peers.
-type entryUpdate struct {
-	// Packed holds the entries in the encoding of lavmirror.Compress.
-	Packed []byte `cbor:"1,keyasint"`
-	// Settled is true if removals among the entries are final, and false if the
-	// removed entries may have expired only because the store was unavailable.
-	Settled bool `cbor:"2,keyasint"`
-}
-
 // peer is what this host knows about another host.
 type peer struct {
 	member        lavmember.Member
@@ -260,13 +228,6 @@
 	return ctx.Err()
 }
 
-// heartbeatInterval returns the time between two heartbeats for the current
-// fleet.
-func (p *peers) heartbeatInterval() time.Duration {
-	hosts := time.Duration(len(p.View().Members))
-	return min(heartbeatInterval*max(hosts, heartbeatBaseHosts)/heartbeatBaseHosts, maxHeartbeatInterval)
-}
-
 // addStoreMembers adds the members that the store lists. It doesn't overwrite
 // the member entry of a peer that has sent heartbeats.
 func (p *peers) addStoreMembers() {
@@ -281,89 +242,6 @@
 	p.rebuildView()
 }
 
-func (p *peers) sendHeartbeat() {
-	_, confirmed := p.confirmation.check()
-	b := heartbeat{
-		Incarnation:       p.Self().Incarnation,
-		Member:            p.selfForHeartbeat(),
-		Digest:            p.state.Digest(),
-		Good:              confirmed,
-		InContact:         p.follower.inContact(),
-		ContinuousContact: p.follower.continuousContact(),
-	}
-	if _, err := p.mesh.Broadcast(lavmesh.TopicBeat, b); err != nil {
-		p.logger.Warn().Err(err).Msg("failed to send heartbeat")
-	}
-}
-
-// selfForHeartbeat returns this host's member entry if the next heartbeat must
-// carry it, and nil otherwise. The entry is sent when it has changed, and
-// regularly for peers that have joined since.
-func (p *peers) selfForHeartbeat() *lavmember.Member {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.heartbeatsSinceSelf++
-	if p.self == p.lastSentSelf && p.heartbeatsSinceSelf < heartbeatsPerMember {
-		return nil
-	}
-	p.lastSentSelf, p.heartbeatsSinceSelf = p.self, 0
-	self := p.self
-	return &self
-}
-
-// handleHeartbeat handles a heartbeat from a peer. A heartbeat without a member
-// entry is ignored if its sender is unknown.
-func (p *peers) handleHeartbeat(_ context.Context, _ string, body []byte) (any, error) {
-	var b heartbeat
-	if err := lavmesh.Decode(body, &b); err != nil {
-		return nil, err
-	}
-	digest := p.state.Digest()
-	now := time.Now()
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	known := p.byIncarnation[b.Incarnation]
-	if b.Member != nil {
-		known = p.upsert(*b.Member)
-	}
-	if known == nil {
-		return nil, nil
-	}
-	known.lastHeartbeat, known.confirmed, known.inContact, known.continuousContact = now, b.Good, b.InContact, b.ContinuousContact
-	if b.Digest == digest {
-		known.differsSince = time.Time{}
-	} else if known.differsSince.IsZero() {
-		known.differsSince = now
-	}
-	return nil, nil
-}
-
-// handleUpdate merges changed entries from a peer.
-func (p *peers) handleUpdate(_ context.Context, _ string, body []byte) (any, error) {
-	var update entryUpdate
-	if err := lavmesh.Decode(body, &update); err != nil {
-		return nil, err
-	}
-	changed, err := lavmirror.Decompress(update.Packed)
-	if err != nil {
-		return nil, err
-	}
-	p.state.apply(changed, update.Settled || p.anyContinuousContact())
-	return nil, nil
-}
-
-// broadcastUpdate sends changed entries to all peers.
-func (p *peers) broadcastUpdate(changed []lavmirror.Entry, removalsFinal bool) {
-	packed, err := lavmirror.Compress(changed)
-	if err != nil {
-		p.logger.Error().Err(err).Msg("failed to encode changed entries")
-		return
-	}
-	if _, err := p.mesh.Broadcast(lavmesh.TopicNews, entryUpdate{Packed: packed, Settled: removalsFinal}); err != nil {
-		p.logger.Warn().Err(err).Msg("failed to send changed entries")
-	}
-}
-
 // contactReportTTL is how long after a heartbeat the continuous contact that it
 // reported is relied on.
 const contactReportTTL = time.Second
