--- a/lavdemo/demo.go
+++ b/lavdemo/demo.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"lavenderrack.example/lavenderrack/lavpause"
+
 	"github.com/cockroachdb/errors"
 )
 
@@ -158,17 +160,10 @@
 // reportProgress writes the request counts every progressInterval until the
 // context ends.
 func (d *demo) reportProgress(ctx context.Context) {
-	ticker := time.NewTicker(progressInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			admitted, answered, refused := d.collector.progress()
-			d.writeProgress("admitted %d, answered %d, refused %d", admitted, answered, refused)
-		}
-	}
+	_ = lavpause.Every(ctx, progressInterval, func() {
+		admitted, answered, refused := d.collector.progress()
+		d.writeProgress("admitted %d, answered %d, refused %d", admitted, answered, refused)
+	})
 }
 
 // writeProgress writes one progress line, prefixed with the seconds since the
--- a/lavgang/run.go
+++ b/lavgang/run.go
@@ -8,6 +8,7 @@
 
 	"lavenderrack.example/lavenderrack/lavendpoint"
 	"lavenderrack.example/lavenderrack/lavengine"
+	"lavenderrack.example/lavenderrack/lavpause"
 	"lavenderrack.example/lavenderrack/lavqueue"
 	"lavenderrack.example/lavenderrack/lavretry"
 	"lavenderrack.example/lavenderrack/lavstep"
@@ -230,14 +231,7 @@
 // renewReservations renews the reservations periodically until the context ends,
 // so that they don't expire.
 func (r *promptRun) renewReservations(ctx context.Context) {
-	tick := time.NewTicker(renewInterval)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-		}
+	_ = lavpause.Every(ctx, renewInterval, func() {
 		r.mu.Lock()
 		parts := append([]*part(nil), r.parts...)
 		r.mu.Unlock()
@@ -248,7 +242,7 @@
 			_ = p.engine.Reserve(callCtx, p.reservation)
 			cancel()
 		}
-	}
+	})
 }
 
 // replaceLostParts reserves memory at another engine for each lost part. It
--- a/lavgang/sweep.go
+++ b/lavgang/sweep.go
@@ -7,6 +7,7 @@
 
 	"lavenderrack.example/lavenderrack/lavendpoint"
 	"lavenderrack.example/lavenderrack/lavengine"
+	"lavenderrack.example/lavenderrack/lavpause"
 	"lavenderrack.example/lavenderrack/lavrequest"
 
 	"github.com/uber-go/tally/v4"
@@ -73,16 +74,7 @@
 
 // Serve sweeps periodically until the context ends.
 func (s *Sweeper) Serve(ctx context.Context) error {
-	tick := time.NewTicker(sweepInterval)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-tick.C:
-			s.Sweep(ctx)
-		}
-	}
+	return lavpause.Every(ctx, sweepInterval, func() { s.Sweep(ctx) })
 }
 
 // Sweep scans each endpoint that this host owns once.
--- a/lavnode/rolling_test.go
+++ b/lavnode/rolling_test.go
@@ -14,7 +14,6 @@
 	"lavenderrack.example/lavenderrack/lavassert"
 	"lavenderrack.example/lavenderrack/lavfakenet"
 	"lavenderrack.example/lavenderrack/lavfront"
-	"lavenderrack.example/lavenderrack/lavrelease"
 )
 
 // caller sends prompts without retries and records every failure. It fetches the list
@@ -136,27 +135,14 @@
 // succeed although the caller doesn't retry.
 func TestRollingRestart(t *testing.T) {
 	runWithCluster(t, *clusterHosts, func(c *cluster) {
-		n := c.initialNote(4)
-		n.Add.Customers = []lavrelease.Customer{{Name: "till", Share: 1, Credentials: []string{lavfront.HashCredential(token)}}}
-		publish(c.t, c.store, n)
-		c.awaitVersion(1)
-		time.Sleep(10 * time.Second)
-		caller := newCaller(c)
-		ctx, cancel := context.WithCancel(c.t.Context())
-		ended := make(chan struct{})
-		go func() {
-			defer close(ended)
-			caller.run(ctx)
-		}()
-		time.Sleep(5 * time.Second)
-		for i := range c.hosts {
-			c.stop(i)
-			time.Sleep(5 * time.Second)
-			c.start(i)
-			time.Sleep(10 * time.Second)
-		}
-		cancel()
-		<-ended
+		caller := runUnderLoad(c, 4, func() {
+			for i := range c.hosts {
+				c.stop(i)
+				time.Sleep(5 * time.Second)
+				c.start(i)
+				time.Sleep(10 * time.Second)
+			}
+		})
 		t.Logf("%d requests done, %d failed", caller.completed, len(caller.failures))
 		lavassert.AtLeast(t, "requests done", caller.completed, 25*len(c.hosts))
 		lavassert.Equal(t, "failures", strings.Join(caller.failures[:min(len(caller.failures), 5)], "\n"), "")
--- a/lavnode/takeout_test.go
+++ b/lavnode/takeout_test.go
@@ -11,10 +11,10 @@
 	"lavenderrack.example/lavenderrack/lavrelease"
 )
 
-// runUnderLoad runs body while a caller sends prompts. It returns the caller after the
-// last response.
-func runUnderLoad(c *cluster, body func()) *caller {
-	n := c.initialNote(6)
+// runUnderLoad runs body while a caller sends prompts to a number of engines. It returns
+// the caller after the last response.
+func runUnderLoad(c *cluster, engines int, body func()) *caller {
+	n := c.initialNote(engines)
 	n.Add.Customers = []lavrelease.Customer{{Name: "till", Share: 1, Credentials: []string{lavfront.HashCredential(token)}}}
 	publish(c.t, c.store, n)
 	c.awaitVersion(1)
@@ -51,7 +51,7 @@
 	const bound = 5 * time.Second
 	t.Run("a failure domain is withdrawn by a release and restored", func(t *testing.T) {
 		runWithCluster(t, *clusterHosts, func(c *cluster) {
-			caller := runUnderLoad(c, func() {
+			caller := runUnderLoad(c, 6, func() {
 				publish(c.t, c.store, lavrelease.Note{ID: "out", Base: 1, Withdraw: lavrelease.Names{FailureDomains: []string{"south"}}})
 				out := time.Now()
 				time.Sleep(30 * time.Second)
@@ -71,7 +71,7 @@
 	})
 	t.Run("a host is leaving according to the host list", func(t *testing.T) {
 		runWithCluster(t, *clusterHosts, func(c *cluster) {
-			caller := runUnderLoad(c, func() {
+			caller := runUnderLoad(c, 6, func() {
 				c.hostList.Set(lavendpoint.HostState{Name: "rack-0002", Leaving: true})
 				out := time.Now()
 				time.Sleep(20 * time.Second)
--- a/lavpause/pause.go
+++ b/lavpause/pause.go
@@ -24,3 +24,19 @@
 // Until sleeps until the time deadline. If the context ends first, it returns the error
 // of the context.
 func Until(ctx context.Context, deadline time.Time) error { return For(ctx, time.Until(deadline)) }
+
+// Every calls do once per interval until the context ends, and returns the error of the
+// context. The first call comes after one interval. A call that takes longer than the
+// interval delays the next ones.
+func Every(ctx context.Context, interval time.Duration, do func()) error {
+	tick := time.NewTicker(interval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-tick.C:
+			do()
+		}
+	}
+}
--- a/lavpause/pause_test.go
+++ b/lavpause/pause_test.go
@@ -57,3 +57,14 @@
 		pauses.Wait()
 	})
 }
+
+// TestEvery checks that the calls come once per interval and end with the context.
+func TestEvery(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithTimeout(t.Context(), 3500*time.Millisecond)
+		defer cancel()
+		calls := 0
+		lavassert.ErrorIs(t, lavpause.Every(ctx, time.Second, func() { calls++ }), context.DeadlineExceeded)
+		lavassert.Equal(t, "calls", calls, 3)
+	})
+}
--- a/lavrelay/reserve.go
+++ b/lavrelay/reserve.go
@@ -9,6 +9,7 @@
 
 	"lavenderrack.example/lavenderrack/lavconfig"
 	"lavenderrack.example/lavenderrack/lavconn"
+	"lavenderrack.example/lavenderrack/lavpause"
 	"lavenderrack.example/lavenderrack/lavstep"
 	"lavenderrack.example/lavenderrack/platform"
 
@@ -129,18 +130,11 @@
 
 // renew renews the reservations until the context ends.
 func (h *reservationSet) renew(ctx context.Context) {
-	tick := time.NewTicker(renewInterval)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-		}
+	_ = lavpause.Every(ctx, renewInterval, func() {
 		if err := h.reserveAll(ctx); err != nil && ctx.Err() == nil {
 			h.task.relay.logger.Warn().Str("Request", h.task.call.ID).Err(err).Msg("could not renew reservation")
 		}
-	}
+	})
 }
 
 // release ends the reservations in the background. If that fails, their leases expire.
--- a/lavroute/feed.go
+++ b/lavroute/feed.go
@@ -7,6 +7,7 @@
 
 	"lavenderrack.example/lavenderrack/lavendpoint"
 	"lavenderrack.example/lavenderrack/lavengine"
+	"lavenderrack.example/lavenderrack/lavpause"
 	"lavenderrack.example/lavenderrack/lavrequest"
 )
 
@@ -60,16 +61,7 @@
 
 // Serve polls for events until the context ends.
 func (f *CacheFeed) Serve(ctx context.Context) error {
-	tick := time.NewTicker(pollInterval)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-tick.C:
-		}
-		f.poll(ctx)
-	}
+	return lavpause.Every(ctx, pollInterval, func() { f.poll(ctx) })
 }
 
 // poll requests events from every endpoint that this host owns, and waits until
