Handle SIGHUP before the settings are read

The host had been killed and was starting again; its log has no line of that start.

Cause: until its settings were read an entry host had no handler for SIGHUP, which then ends the process.

--- a/cmd/lavenderrack/entry.go
+++ b/cmd/lavenderrack/entry.go
@@ -59,6 +59,10 @@
 }
 
 func (c *entryCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	// Without a handler SIGHUP ends the process, also while it starts.
+	reloadSignal := make(chan os.Signal, 1)
+	signal.Notify(reloadSignal, syscall.SIGHUP)
+	defer signal.Stop(reloadSignal)
 	if err := c.checkFlags(f); err != nil {
 		return c.usageError("entry: %v", err)
 	}
@@ -74,18 +78,15 @@
 		return c.fail(err, subcommands.ExitUsageError)
 	}
 	loadSettings := func() (platform.Settings, error) { return platform.LoadSettings(path) }
-	if err := runEntry(ctx, settings, uint16(c.metrics), loadSettings); err != nil {
+	if err := runEntry(ctx, settings, uint16(c.metrics), loadSettings, reloadSignal); err != nil {
 		return c.fail(err, subcommands.ExitFailure)
 	}
 	return subcommands.ExitSuccess
 }
 
-// runEntry runs an entry host until the context ends. SIGHUP makes the host read its
-// settings again with loadSettings.
-func runEntry(ctx context.Context, s platform.Settings, metricsPort uint16, loadSettings func() (platform.Settings, error)) error {
-	reloadSignal := make(chan os.Signal, 1)
-	signal.Notify(reloadSignal, syscall.SIGHUP)
-	defer signal.Stop(reloadSignal)
+// runEntry runs an entry host until the context ends. A reload signal makes the host read
+// its settings again with loadSettings.
+func runEntry(ctx context.Context, s platform.Settings, metricsPort uint16, loadSettings func() (platform.Settings, error), reloadSignal <-chan os.Signal) error {
 	debug.SetGCPercent(gcPercent)
 	debug.SetMemoryLimit(int64(float64(s.MemoryBytes) * memoryLimitFraction))
 	logWriter := &log.AsyncWriter{ChannelSize: logBufferLines, DiscardOnFull: true, Writer: &log.IOWriter{Writer: os.Stdout}}
