--- /dev/null
+++ b/lavhost/fleetemulator_test.go
@@ -0,0 +1,215 @@
+package lavhost
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"testing"
+	"time"
+
+	"lavenderrack.example/lavenderrack/lavassert"
+	"lavenderrack.example/lavenderrack/lavconfig"
+	"lavenderrack.example/lavenderrack/lavfakenet"
+	"lavenderrack.example/lavenderrack/platform"
+	"lavenderrack.example/lavenderrack/platform/standin"
+
+	"github.com/cockroachdb/errors"
+	"github.com/uber-go/tally/v4"
+)
+
+// datagramNetwork delivers datagrams between the hosts of an emulated fleet.
+type datagramNetwork map[netip.AddrPort]*datagramConn
+
+// datagramQueue is how many datagrams wait at a socket before further ones are lost.
+const datagramQueue = 1024
+
+// datagram is a received datagram.
+type datagram struct {
+	data []byte
+	from net.Addr
+}
+
+// datagramConn is a socket of a datagramNetwork. Only the methods that lavdatagram uses are
+// implemented.
+type datagramConn struct {
+	net.PacketConn
+	network  datagramNetwork
+	address  netip.AddrPort
+	incoming chan datagram
+	closed   chan struct{}
+}
+
+// ReadFrom implements net.PacketConn.
+func (c *datagramConn) ReadFrom(buffer []byte) (int, net.Addr, error) {
+	select {
+	case d := <-c.incoming:
+		return copy(buffer, d.data), d.from, nil
+	case <-c.closed:
+		return 0, nil, net.ErrClosed
+	}
+}
+
+// WriteTo implements net.PacketConn.
+func (c *datagramConn) WriteTo(data []byte, to net.Addr) (int, error) {
+	if peer := c.network[to.(*net.UDPAddr).AddrPort()]; peer != nil {
+		select {
+		case peer.incoming <- datagram{data: data, from: net.UDPAddrFromAddrPort(c.address)}:
+		default:
+		}
+	}
+	return len(data), nil
+}
+
+// Close implements net.PacketConn.
+func (c *datagramConn) Close() error {
+	close(c.closed)
+	return nil
+}
+
+// Ports of every host of an emulated fleet, and the address of its store.
+const (
+	emulatedCallers = 8000 + iota
+	emulatedReadiness
+	emulatedPeers
+	emulatedDirectory
+	emulatedDatagrams
+)
+
+var emulatedStore = netip.MustParseAddrPort("10.200.0.1:80")
+
+// emulatedFleet is a fleet of hosts that run in virtual time, with a store, but without
+// requests.
+type emulatedFleet struct {
+	store *standin.Store
+	hosts []*Host
+	// scope counts the messages of all hosts.
+	scope tally.TestScope
+	ended chan error
+	stop  context.CancelFunc
+}
+
+// startFleet starts a fleet of n hosts in five failure domains before the given number of
+// endpoints. It must be called in a synctest bubble. The caller must call end.
+func startFleet(t *testing.T, n, endpoints int) *emulatedFleet {
+	t.Helper()
+	const domains = 5
+	network := lavfakenet.New(1, func(_, _ lavfakenet.HostInfo) lavfakenet.Link {
+		return lavfakenet.Link{Delay: 3 * time.Millisecond}
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	f := &emulatedFleet{store: standin.NewStore(), scope: tally.NewTestScope("", nil), ended: make(chan error, n), stop: cancel}
+	f.store.PutEntry(standin.ConfigEntry(0, 1, "s"))
+	for i := range endpoints {
+		at := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 100, byte(i / 250), byte(1 + i%250)}), 80)
+		f.store.PutEntry(standin.EndpointEntry(fmt.Sprint("e", i), 0, "s", at.String(), fmt.Sprint("zone-", i%domains), "ready"))
+	}
+	f.serveStore(ctx, t, network.Host(lavfakenet.HostInfo{Host: "store"}))
+	datagrams := make(datagramNetwork)
+	var settings []platform.Settings
+	for i := range n {
+		s := emulatedSettings(i, fmt.Sprint("zone-", i%domains))
+		settings = append(settings, s)
+		datagrams[s.Datagrams] = &datagramConn{
+			network: datagrams, address: s.Datagrams, incoming: make(chan datagram, datagramQueue), closed: make(chan struct{}),
+		}
+	}
+	for _, s := range settings {
+		s.Seeds = []netip.AddrPort{settings[0].Peers, settings[1].Peers, settings[2].Peers}
+		f.startHost(ctx, s, network.Host(lavfakenet.HostInfo{Host: s.Host, FailureDomain: s.FailureDomain}), datagrams[s.Datagrams])
+	}
+	return f
+}
+
+func emulatedSettings(i int, domain string) platform.Settings {
+	address := netip.AddrFrom4([4]byte{10, 1, byte(i / 250), byte(1 + i%250)})
+	return platform.Settings{
+		Host:          fmt.Sprint("host-", i),
+		FailureDomain: domain,
+		Address:       address,
+		Callers:       netip.AddrPortFrom(address, emulatedCallers),
+		Readiness:     netip.AddrPortFrom(address, emulatedReadiness),
+		Peers:         netip.AddrPortFrom(address, emulatedPeers),
+		Directory:     netip.AddrPortFrom(address, emulatedDirectory),
+		Datagrams:     netip.AddrPortFrom(address, emulatedDatagrams),
+		Store:         emulatedStore,
+		Bounds:        platform.Bounds{Grace: time.Second, RetryWindow: time.Second},
+	}
+}
+
+func (f *emulatedFleet) serveStore(ctx context.Context, t *testing.T, host *lavfakenet.Host) {
+	t.Helper()
+	l, err := host.Listen("tcp", emulatedStore.String())
+	lavassert.NoError(t, err)
+	server := &http.Server{Handler: f.store}
+	go func() { _ = server.Serve(l) }()
+	context.AfterFunc(ctx, func() { _ = server.Close() })
+}
+
+func (f *emulatedFleet) startHost(ctx context.Context, s platform.Settings, network *lavfakenet.Host, datagrams net.PacketConn) {
+	transport := &http.Transport{DialContext: network.DialContext, MaxIdleConnsPerHost: 2}
+	context.AfterFunc(ctx, transport.CloseIdleConnections)
+	client := &http.Client{Transport: transport}
+	h := New(s, Dependencies{
+		Listen: func(at netip.AddrPort) (net.Listener, error) { return network.Listen("tcp", at.String()) },
+		Dial: func(context.Context, netip.AddrPort) (net.Conn, error) {
+			return nil, errors.New("no endpoint listens in an emulated fleet")
+		},
+		PeerClient:   client,
+		Store:        platform.NewStore(client, s.Store),
+		SuspendClock: func() time.Duration { return 0 },
+		Logger:       discardLogger,
+		Scope:        f.scope,
+		LoadSettings: func() (platform.Settings, error) { return s, nil },
+		ReloadSignal: make(chan os.Signal),
+		Datagrams:    datagrams,
+	})
+	f.hosts = append(f.hosts, h)
+	go func() { f.ended <- h.Serve(ctx) }()
+}
+
+// end ends all hosts and waits for them.
+func (f *emulatedFleet) end(t *testing.T) {
+	t.Helper()
+	f.stop()
+	for range f.hosts {
+		lavassert.NoError(t, <-f.ended)
+	}
+}
+
+// version returns the lowest version of the desired state that a host has in force.
+func (f *emulatedFleet) version() lavconfig.Version {
+	var lowest lavconfig.Version
+	for i, h := range f.hosts {
+		index := h.state.Index()
+		if index == nil {
+			return 0
+		}
+		if i == 0 || index.Version() < lowest {
+			lowest = index.Version()
+		}
+	}
+	return lowest
+}
+
+// smallestView returns the least number of members that a host counts as alive.
+func (f *emulatedFleet) smallestView() int {
+	smallest := len(f.hosts)
+	for _, h := range f.hosts {
+		smallest = min(smallest, len(h.peers.View().Members))
+	}
+	return smallest
+}
+
+// counter returns the sum of a counter over all hosts.
+func (f *emulatedFleet) counter(name string) int64 {
+	var sum int64
+	for _, c := range f.scope.Snapshot().Counters() {
+		if c.Name() == name {
+			sum += c.Value()
+		}
+	}
+	return sum
+}
