Select aggregators and neighbours in one pass, and keep an unchanged view

Cause: each load report ranked every member against every other one (87,000 hashes at 295 hosts); each dial tick sorted the ring twice; a new view at each heartbeat emptied what the mesh derives from it.

--- a/lavhost/loadexchange.go
+++ b/lavhost/loadexchange.go
@@ -179,13 +179,7 @@
 // aggregatorsOf returns the aggregators in order of rank, the primary one
 // first.
 func aggregatorsOf(v *lavmember.View) []lavmember.Member {
-	var chosen [aggregatorCount]lavmember.Member
-	for _, m := range v.Members {
-		if rank := lavmember.RendezvousRank(v, aggregatorRankKey, m.Incarnation); rank < aggregatorCount {
-			chosen[rank] = m
-		}
-	}
-	return chosen[:min(len(v.Members), aggregatorCount)]
+	return lavmember.HighestRanked(v, aggregatorRankKey, aggregatorCount)
 }
 
 // handleReport handles a report from another host.
--- a/lavhost/peers.go
+++ b/lavhost/peers.go
@@ -169,7 +169,11 @@
 		}
 	}
 	slices.SortFunc(members, func(a, b lavmember.Member) int { return cmp.Compare(a.Incarnation, b.Incarnation) })
-	p.view = &lavmember.View{Members: members}
+	if !slices.Equal(members, p.view.Members) {
+		// An unchanged view is kept, since others derive data from it and keep that
+		// until the view changes.
+		p.view = &lavmember.View{Members: members}
+	}
 	position := slices.IndexFunc(members, func(m lavmember.Member) bool { return m.Incarnation == p.self.Incarnation })
 	p.fleet.SetHosts(max(len(members)+spareHosts, minHosts), position)
 }
--- a/lavmember/owner.go
+++ b/lavmember/owner.go
@@ -1,6 +1,11 @@
 package lavmember
 
-import "github.com/cespare/xxhash/v2"
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 // Owner returns the member that owns the named item, for example an endpoint.
 // Ownership uses rendezvous hashing: the owner is the member with the highest
@@ -69,6 +74,29 @@
 	return rank
 }
 
+// HighestRanked returns the n members with the highest rendezvous weights for name, the
+// highest first. It returns fewer if the view has fewer members.
+func HighestRanked(v *View, name string, n int) []Member {
+	type ranked struct {
+		weight uint64
+		index  int
+	}
+	best := make([]ranked, 0, n+1)
+	for i := range v.Members {
+		next := ranked{rendezvousWeight(v.Members[i].Incarnation, name), i}
+		at, _ := slices.BinarySearchFunc(best, next, func(a, b ranked) int { return cmp.Compare(b.weight, a.weight) })
+		if at < n {
+			best = slices.Insert(best, at, next)
+			best = best[:min(len(best), n)]
+		}
+	}
+	members := make([]Member, 0, len(best))
+	for _, r := range best {
+		members = append(members, v.Members[r.index])
+	}
+	return members
+}
+
 // rendezvousWeight mixes the hashes of an incarnation and a name. The second
 // multiplication spreads the bits after the two hashes have been combined by XOR.
 func rendezvousWeight(incarnation, name string) uint64 {
--- a/lavmember/owner_test.go
+++ b/lavmember/owner_test.go
@@ -126,3 +126,18 @@
 		}
 	})
 }
+
+// TestHighestRanked compares the selection of the highest ranks with the rank of each member.
+func TestHighestRanked(t *testing.T) {
+	v := &lavmember.View{}
+	for i := range 50 {
+		v.Members = append(v.Members, lavmember.Member{Incarnation: fmt.Sprintf("host-%02d", i)})
+	}
+	for _, n := range []int{0, 1, 2, 7, 50, 60} {
+		got := lavmember.HighestRanked(v, "item", n)
+		lavassert.Equal(t, "members", len(got), min(n, 50))
+		for rank, m := range got {
+			lavassert.Equal(t, "rank of "+m.Incarnation, lavmember.RendezvousRank(v, "item", m.Incarnation), rank)
+		}
+	}
+}
--- a/lavmesh/dial.go
+++ b/lavmesh/dial.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"net/http"
 	"net/netip"
+	"slices"
 	"time"
 
 	"lavenderrack.example/lavenderrack/lavmember"
@@ -36,7 +37,7 @@
 // maintainLinks dials the neighbours to which this host has no link, and closes
 // idle links that this host dialled only for calls.
 func (m *Mesh) maintainLinks(ctx context.Context) {
-	wanted := append(neighbours(m.membership.Self().Incarnation, m.membership.View()), m.neighboursOutsideView()...)
+	wanted := slices.Concat(m.currentNeighbours(), m.neighboursOutsideView())
 	keep := make(map[string]bool, len(wanted))
 	for _, member := range wanted {
 		keep[member.Incarnation] = true
@@ -57,6 +58,15 @@
 	m.traffic.links.Update(float64(len(m.links)))
 }
 
+// currentNeighbours returns this host's neighbours in the current view. Only Serve calls it.
+func (m *Mesh) currentNeighbours() []lavmember.Member {
+	if view := m.membership.View(); view != m.neighboursView {
+		m.neighboursView = view
+		m.neighbours = neighbours(m.membership.Self().Incarnation, view)
+	}
+	return m.neighbours
+}
+
 // pruneLastLinkIDs deletes the last link IDs of peers that are no longer
 // members. The caller must hold m.mu.
 func (m *Mesh) pruneLastLinkIDs() {
@@ -75,9 +85,12 @@
 	if !ok {
 		return nil
 	}
-	view := m.membership.View()
+	view, full := m.membership.View(), observer.FullView()
+	if full == view {
+		return nil
+	}
 	var absent []lavmember.Member
-	for _, member := range neighbours(m.membership.Self().Incarnation, observer.FullView()) {
+	for _, member := range neighbours(m.membership.Self().Incarnation, full) {
 		if _, known := view.Member(member.Incarnation); !known {
 			absent = append(absent, member)
 		}
--- a/lavmesh/mesh.go
+++ b/lavmesh/mesh.go
@@ -52,6 +52,9 @@
 	keys         *Keys
 	timing       Timing
 	incarnations atomic.Pointer[incarnationIndex]
+	// neighbours are the neighbours in neighboursView.
+	neighbours     []lavmember.Member
+	neighboursView *lavmember.View
 
 	mu       sync.Mutex
 	handlers map[Topic]Handler
--- a/lavmesh/ring.go
+++ b/lavmesh/ring.go
@@ -1,6 +1,7 @@
 package lavmesh
 
 import (
+	"cmp"
 	"slices"
 
 	"lavenderrack.example/lavenderrack/lavmember"
@@ -21,26 +22,20 @@
 // between any two members are logarithmic in the size of the fleet.
 func neighbours(self string, v *lavmember.View) []lavmember.Member {
 	own := positionOf(self)
-	ring := make([]lavmember.Member, 0, len(v.Members))
-	for _, m := range v.Members {
-		if m.Incarnation != self {
-			ring = append(ring, m)
-		}
+	type place struct {
+		distance uint64
+		index    int
 	}
-	slices.SortFunc(ring, func(a, b lavmember.Member) int {
-		da, db := positionOf(a.Incarnation).clockwiseFrom(own), positionOf(b.Incarnation).clockwiseFrom(own)
-		switch {
-		case da < db:
-			return -1
-		case da > db:
-			return 1
-		default:
-			return 0
+	ring := make([]place, 0, len(v.Members))
+	for i := range v.Members {
+		if id := v.Members[i].Incarnation; id != self {
+			ring = append(ring, place{positionOf(id).clockwiseFrom(own), i})
 		}
-	})
+	}
+	slices.SortFunc(ring, func(a, b place) int { return cmp.Compare(a.distance, b.distance) })
 	var selected []lavmember.Member
 	for distance := 1; distance <= len(ring); distance *= 2 {
-		selected = append(selected, ring[distance-1])
+		selected = append(selected, v.Members[ring[distance-1].index])
 	}
 	return selected
 }
