--- a/lavhost/storefollower.go
+++ b/lavhost/storefollower.go
@@ -129,6 +129,8 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait+callTimeout)
 	defer cancel()
+	// Peers know what a host lists first, or request it because its digest differs.
+	firstListing := f.state.mirror.HighestRevision() == 0
 	var relevant []lavmirror.Entry
 	var next lavstore.Revision
 	var err error
@@ -150,7 +152,7 @@
 	if f.confirmation.confirm(epoch) {
 		f.logger.Info().Uint64("Revision", uint64(next)).Msg("knowledge confirmed by the store")
 	}
-	if len(relevant) > 0 {
+	if len(relevant) > 0 && !firstListing {
 		f.broadcast(relevant, f.anyContinuousContact())
 	}
 	return next, nil
