Detect failures by the neighbours on the mesh in large fleets

Cause: each host broadcast a heartbeat at least every 0.6 s, so that every host received and forwarded 490 a second at 295 hosts. Change: over 48 hosts only those that watch the store send their status that often. The others' heartbeats are hosts/8 * 100 ms apart. A host that can't open a link to its neighbour on the ring broadcasts a suspicion, which the suspected host answers with a heartbeat; hosts with a link to it pass the suspicion on. If the watchers lose the store, the three next hosts that reach it take their place; before, all hosts polled it. Up to 48 hosts nothing changes but the filter of the directory. TestLargeFleet plays 60 hosts in virtual time: live hosts stay, a host that is cut off is dropped within 4 s and returns, a planned stop is known within 0.5 s, a change is in force within 2 s, also if the watchers are turned away.

--- a/lavhost/clusterstate_test.go
+++ b/lavhost/clusterstate_test.go
@@ -209,7 +209,7 @@
 		epoch, _ := c.check()
 		c.confirm(epoch)
 		for range 5 {
-			time.Sleep(maxHeartbeatInterval)
+			time.Sleep(maxStatusInterval)
 			_, confirmed := c.check()
 			lavassert.True(t, "confirmed while the process runs", confirmed)
 		}
--- a/lavhost/fleetemulator_test.go
+++ b/lavhost/fleetemulator_test.go
@@ -83,8 +83,11 @@
 // emulatedFleet is a fleet of hosts that run in virtual time, with a store, but without
 // requests.
 type emulatedFleet struct {
-	store *standin.Store
-	hosts []*Host
+	store   *standin.Store
+	network *lavfakenet.Network
+	hosts   []*Host
+	// stopHost stops each host by itself.
+	stopHost []context.CancelFunc
 	// scope counts the messages of all hosts.
 	scope tally.TestScope
 	ended chan error
@@ -100,7 +103,7 @@
 		return lavfakenet.Link{Delay: 3 * time.Millisecond}
 	})
 	ctx, cancel := context.WithCancel(t.Context())
-	f := &emulatedFleet{store: standin.NewStore(), scope: tally.NewTestScope("", nil), ended: make(chan error, n), stop: cancel}
+	f := &emulatedFleet{store: standin.NewStore(), network: network, scope: tally.NewTestScope("", nil), ended: make(chan error, n), stop: cancel}
 	f.store.PutEntry(standin.ConfigEntry(0, 1, "s"))
 	for i := range endpoints {
 		at := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 100, byte(i / 250), byte(1 + i%250)}), 80)
@@ -166,8 +169,43 @@
 		ReloadSignal: make(chan os.Signal),
 		Datagrams:    datagrams,
 	})
+	running, stop := context.WithCancel(ctx)
 	f.hosts = append(f.hosts, h)
-	go func() { f.ended <- h.Serve(ctx) }()
+	f.stopHost = append(f.stopHost, stop)
+	go func() { f.ended <- h.Serve(running) }()
+}
+
+// isolate cuts a host off from all other hosts, without ending its connections, or ends that.
+func (f *emulatedFleet) isolate(i int, isolated bool) {
+	for j, other := range f.hosts {
+		if j != i {
+			f.network.SetPartitioned(f.hosts[i].settings.Host, other.settings.Host, isolated)
+		}
+	}
+}
+
+// countAlive returns how many hosts other than i count host i as alive.
+func (f *emulatedFleet) countAlive(i int) int {
+	count := 0
+	for j, h := range f.hosts {
+		if _, alive := h.peers.View().Member(f.hosts[i].peers.Self().Incarnation); alive && j != i {
+			count++
+		}
+	}
+	return count
+}
+
+// countOffered returns how many hosts direct callers to host i.
+func (f *emulatedFleet) countOffered(i int) int {
+	count := 0
+	for _, h := range f.hosts {
+		for _, m := range h.peers.Alive() {
+			if m.Incarnation == f.hosts[i].peers.Self().Incarnation {
+				count++
+			}
+		}
+	}
+	return count
 }
 
 // end ends all hosts and waits for them.
--- a/lavhost/heartbeat.go
+++ b/lavhost/heartbeat.go
@@ -24,19 +24,15 @@
 	ContinuousContact bool `cbor:"5,keyasint,omitempty"`
 	// Incarnation identifies the sender.
 	Incarnation string `cbor:"6,keyasint"`
+	// SendsStatus is true if the sender's next heartbeat follows so soon that
+	// receivers may rely on the fields about its replica and the store.
+	SendsStatus bool `cbor:"7,keyasint,omitempty"`
 }
 
 // heartbeatsPerMember is how many heartbeats a host sends for each one that
 // carries its unchanged member entry.
 const heartbeatsPerMember = 3
 
-// heartbeatInterval returns the time between two heartbeats for the current
-// fleet.
-func (p *peers) heartbeatInterval() time.Duration {
-	hosts := time.Duration(len(p.View().Members))
-	return min(heartbeatInterval*max(hosts, heartbeatBaseHosts)/heartbeatBaseHosts, maxHeartbeatInterval)
-}
-
 func (p *peers) sendHeartbeat() {
 	_, confirmed := p.confirmation.check()
 	b := heartbeat{
@@ -46,6 +42,7 @@
 		Good:              confirmed,
 		InContact:         p.follower.inContact(),
 		ContinuousContact: p.follower.continuousContact(),
+		SendsStatus:       p.sendsStatus(),
 	}
 	if _, err := p.mesh.Broadcast(lavmesh.TopicBeat, b); err != nil {
 		p.logger.Warn().Err(err).Msg("failed to send heartbeat")
@@ -85,11 +82,21 @@
 	if known == nil {
 		return nil, nil
 	}
-	known.lastHeartbeat, known.confirmed, known.inContact, known.continuousContact = now, b.Good, b.InContact, b.ContinuousContact
-	if b.Digest == digest {
+	known.lastHeartbeat = now
+	known.updateStatus(b, digest)
+	return nil, nil
+}
+
+// updateStatus stores the status in a heartbeat. Digest is that of this host's
+// entries.
+func (known *peer) updateStatus(b heartbeat, digest uint64) {
+	known.confirmed = b.Good
+	known.inContact = b.InContact && b.SendsStatus
+	known.continuousContact = b.ContinuousContact && b.SendsStatus
+	switch {
+	case !b.SendsStatus || b.Digest == digest:
 		known.differsSince = time.Time{}
-	} else if known.differsSince.IsZero() {
-		known.differsSince = now
+	case known.differsSince.IsZero():
+		known.differsSince = known.lastHeartbeat
 	}
-	return nil, nil
 }
--- a/lavhost/host.go
+++ b/lavhost/host.go
@@ -106,6 +106,7 @@
 		logger:        h.deps.Logger,
 		seeds:         settings.Seeds,
 		selfChanged:   make(chan struct{}, 1),
+		announced:     make(chan struct{}, 1),
 		self:          self,
 		byIncarnation: make(map[string]*peer),
 		view:          &lavmember.View{Members: []lavmember.Member{self}},
@@ -128,6 +129,7 @@
 	h.socket = lavdatagram.New(h.deps.Datagrams, h.deps.Scope)
 	h.loadExchange = newLoadExchange(h.socket, h.fleet, h.peers, h.deps.Logger)
 	h.mesh.Handle(lavmesh.TopicBeat, h.peers.handleHeartbeat)
+	h.mesh.Handle(lavmesh.TopicSuspicion, h.peers.handleSuspicion)
 	h.mesh.Handle(lavmesh.TopicNews, h.peers.handleUpdate)
 	h.mesh.Handle(lavmesh.TopicEntries, h.peers.handleStateRequest)
 }
--- a/lavhost/peers.go
+++ b/lavhost/peers.go
@@ -16,24 +16,14 @@
 	"github.com/phuslu/log"
 )
 
-// Timing of heartbeats, and assumptions about the size of the fleet.
+// Timing of the exchange with peers, and assumptions about the size of the fleet.
 const (
-	// heartbeatInterval is the time between two heartbeats in a fleet of up to
-	// heartbeatBaseHosts. In a larger fleet the time grows in proportion, so
-	// that the number of heartbeats that a host receives per second doesn't
-	// grow.
-	heartbeatInterval  = 100 * time.Millisecond
-	heartbeatBaseHosts = 8
-	// maxHeartbeatInterval lets several heartbeats arrive within peerTimeout.
-	maxHeartbeatInterval = 600 * time.Millisecond
-	// peerTimeout is how long after its last heartbeat a peer counts as alive.
-	peerTimeout = 2 * time.Second
-	// newMemberGrace is how long a member without any heartbeat counts as alive
-	// because the store lists it.
-	newMemberGrace = 1500 * time.Millisecond
 	// deadPeerRetention is how long a dead peer is remembered, so that it
 	// doesn't count as a new member while the store still lists it.
-	deadPeerRetention = 30 * time.Second
+	deadPeerRetention = 2 * maxMemberLeaseTTL
+	// announceInterval is the least time between two heartbeats of a host that
+	// answers suspicions.
+	announceInterval = 200 * time.Millisecond
 	// divergenceTolerance is how long the digest of a peer may differ before
 	// this host requests the peer's entries, and pullTimeout bounds that
 	// request.
@@ -57,10 +47,8 @@
 
 // peer is what this host knows about another host.
 type peer struct {
-	member        lavmember.Member
-	lastHeartbeat time.Time
-	// firstSeen is when the peer became known.
-	firstSeen time.Time
+	liveness
+	member lavmember.Member
 	// confirmed is true if the peer's replica is confirmed.
 	confirmed bool
 	// inContact is true if the store has answered the peer recently.
@@ -84,8 +72,9 @@
 	logger       *log.Logger
 	seeds        []netip.AddrPort
 	// selfChanged wakes the membership service to write this host's member
-	// entry.
+	// entry, and announced makes this host send a heartbeat.
 	selfChanged chan struct{}
+	announced   chan struct{}
 
 	mu            sync.Mutex
 	self          lavmember.Member
@@ -95,6 +84,8 @@
 	// carried one, and heartbeatsSinceSelf counts the heartbeats since then.
 	lastSentSelf        lavmember.Member
 	heartbeatsSinceSelf int
+	// mustAnnounce is true if a heartbeat is due for another reason than time.
+	mustAnnounce bool
 }
 
 // Self implements lavmesh.Membership.
@@ -132,14 +123,12 @@
 func (p *peers) PeerConnected(m lavmember.Member) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.upsert(m)
+	if known := p.upsert(m); known != nil {
+		known.lastHeartbeat = time.Now()
+	}
 	p.rebuildView()
 }
 
-// PeerUnreachable implements lavmesh.PeerObserver. It does nothing: heartbeats decide
-// which peers are alive.
-func (p *peers) PeerUnreachable(string) {}
-
 // upsert stores the member entry of a peer and returns the peer, or nil for
 // this host itself. The caller holds the lock.
 func (p *peers) upsert(m lavmember.Member) *peer {
@@ -148,7 +137,7 @@
 	}
 	known := p.byIncarnation[m.Incarnation]
 	if known == nil {
-		known = &peer{firstSeen: time.Now()}
+		known = &peer{liveness: liveness{firstSeen: time.Now()}}
 		p.byIncarnation[m.Incarnation] = known
 	}
 	known.member = m
@@ -162,7 +151,7 @@
 	now := time.Now()
 	members := []lavmember.Member{p.self}
 	for id, known := range p.byIncarnation {
-		if p.isAlive(known, now) {
+		if known.alive(now, len(p.view.Members)) {
 			members = append(members, known.member)
 		} else if now.Sub(known.firstSeen) > deadPeerRetention && now.Sub(known.lastHeartbeat) > deadPeerRetention {
 			delete(p.byIncarnation, id)
@@ -178,14 +167,6 @@
 	p.fleet.SetHosts(max(len(members)+spareHosts, minHosts), position)
 }
 
-// isAlive reports whether a peer counts as alive.
-func (p *peers) isAlive(known *peer, now time.Time) bool {
-	if known.lastHeartbeat.IsZero() {
-		return now.Sub(known.firstSeen) < newMemberGrace
-	}
-	return now.Sub(known.lastHeartbeat) < peerTimeout
-}
-
 // setSeeds replaces the addresses that are dialled while no peer is known.
 func (p *peers) setSeeds(seeds []netip.AddrPort) {
 	p.mu.Lock()
@@ -197,15 +178,33 @@
 // the store. All hosts of a fleet must use the same text.
 const watcherRankKey = "watcher of the store"
 
-// reliesOnWatchers reports whether this host is not a watcher of the store and
-// has the same entries as a peer in contact with it.
-func (p *peers) reliesOnWatchers() bool {
-	if lavmember.RendezvousRank(p.View(), watcherRankKey, p.Self().Incarnation) < watcherCount {
+// watches reports whether this host watches the store for others: it has one of
+// the highest ranks, or it is in contact with the store while too few peers of
+// higher rank are.
+func (p *peers) watches() bool {
+	view, self := p.View(), p.Self().Incarnation
+	if lavmember.RendezvousRank(view, watcherRankKey, self) < watcherCount {
+		return true
+	}
+	if !p.follower.inContact() {
 		return false
 	}
-	return p.hasSyncedPeer()
+	now := time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	watchers := 0
+	for id, known := range p.byIncarnation {
+		if known.inContact && now.Sub(known.lastHeartbeat) < peerTimeout && lavmember.RanksHigher(watcherRankKey, id, self) {
+			watchers++
+		}
+	}
+	return watchers < watcherCount
 }
 
+// reliesOnWatchers reports whether this host doesn't watch the store and has the
+// same entries as a peer in contact with it.
+func (p *peers) reliesOnWatchers() bool { return !p.watches() && p.hasSyncedPeer() }
+
 // Leave announces that this host is draining.
 func (p *peers) Leave() {
 	p.mu.Lock()
@@ -216,22 +215,59 @@
 	case p.selfChanged <- struct{}{}:
 	default:
 	}
+	p.announce()
 }
 
-// Serve implements suture.Service. At each heartbeat it also adds the members
-// that the store lists, drops missing endpoints and compares entries with the
-// peers.
+// Serve implements suture.Service. At each status interval it adds the members
+// that the store lists, drops missing endpoints, sends a heartbeat if one is
+// due, and compares entries with the peers.
 func (p *peers) Serve(ctx context.Context) error {
+	var lastSent time.Time
 	for ctx.Err() == nil {
-		_ = lavpause.For(ctx, p.heartbeatInterval())
+		p.waitForStatus(ctx, lastSent)
 		p.addStoreMembers()
 		p.state.dropMissing(p.follower.unavailable(), p.anyContinuousContact())
-		p.sendHeartbeat()
+		if p.heartbeatDue(lastSent) {
+			lastSent = time.Now()
+			p.sendHeartbeat()
+		}
 		p.syncFromPeer(ctx)
 	}
 	return ctx.Err()
 }
 
+// waitForStatus waits for the status interval, or until this host must announce
+// itself.
+func (p *peers) waitForStatus(ctx context.Context, lastSent time.Time) {
+	timer := time.NewTimer(statusIntervalFor(len(p.View().Members)))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-p.announced:
+		_ = lavpause.For(ctx, announceInterval-time.Since(lastSent))
+		p.mu.Lock()
+		p.mustAnnounce = true
+		p.mu.Unlock()
+	}
+}
+
+// heartbeatDue reports whether this host must send a heartbeat: at each status
+// interval if it sends its status, otherwise at the liveness interval.
+func (p *peers) heartbeatDue(lastSent time.Time) bool {
+	_, confirmed := p.confirmation.check()
+	p.mu.Lock()
+	announce := p.mustAnnounce
+	p.mustAnnounce = false
+	hosts := len(p.view.Members)
+	p.mu.Unlock()
+	return announce || !confirmed || p.sendsStatus() || time.Since(lastSent) >= livenessIntervalFor(hosts)
+}
+
+// sendsStatus reports whether peers may rely on the status in this host's
+// heartbeats.
+func (p *peers) sendsStatus() bool { return isSmallFleet(len(p.View().Members)) || p.watches() }
+
 // addStoreMembers adds the members that the store lists. It doesn't overwrite
 // the member entry of a peer that has sent heartbeats.
 func (p *peers) addStoreMembers() {
@@ -239,7 +275,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, m := range members {
-		if known := p.byIncarnation[m.Incarnation]; known == nil || known.lastHeartbeat.IsZero() {
+		if known := p.byIncarnation[m.Incarnation]; known == nil || !known.heard() {
 			p.upsert(m)
 		}
 	}
@@ -282,14 +318,16 @@
 	return false
 }
 
-// Alive returns the members to which callers may be directed.
+// Alive returns the members to which callers may be directed: those that are
+// alive, have been heard of, and are not draining. The store may still list a
+// member that is dead.
 func (p *peers) Alive() []lavmember.Member {
 	now := time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var alive []lavmember.Member
 	for _, known := range p.byIncarnation {
-		if p.isAlive(known, now) && !known.member.Leaving && known.member.Entry.IsValid() {
+		if known.heard() && known.alive(now, len(p.view.Members)) && !known.member.Leaving && known.member.Entry.IsValid() {
 			alive = append(alive, known.member)
 		}
 	}
--- a/lavhost/statesync.go
+++ b/lavhost/statesync.go
@@ -4,10 +4,17 @@
 	"context"
 	"time"
 
+	"lavenderrack.example/lavenderrack/lavmember"
 	"lavenderrack.example/lavenderrack/lavmesh"
 	"lavenderrack.example/lavenderrack/lavmirror"
 )
 
+// stateRequest requests the entries of a peer.
+type stateRequest struct {
+	// Members is true if the peer must send the members that it knows too.
+	Members bool `cbor:"1,keyasint,omitempty"`
+}
+
 // stateResponse is the response to a peer that requests this host's entries.
 type stateResponse struct {
 	// Packed holds the entries in the encoding of lavmirror.Compress. Good is true
@@ -17,13 +24,23 @@
 	Packed  []byte `cbor:"1,keyasint"`
 	Good    bool   `cbor:"2,keyasint"`
 	Settled bool   `cbor:"3,keyasint"`
+	// Members are the members that the sender knows, if they were requested.
+	Members []lavmember.Member `cbor:"4,keyasint,omitempty"`
 }
 
 // handleStateRequest answers a peer's request for this host's entries.
-func (p *peers) handleStateRequest(context.Context, string, []byte) (any, error) {
+func (p *peers) handleStateRequest(_ context.Context, _ string, body []byte) (any, error) {
+	var request stateRequest
+	if err := lavmesh.Decode(body, &request); err != nil {
+		return nil, err
+	}
 	_, confirmed := p.confirmation.check()
 	packed, err := lavmirror.Compress(p.state.RelevantEntries())
-	return stateResponse{Packed: packed, Good: confirmed, Settled: p.anyContinuousContact()}, err
+	response := stateResponse{Packed: packed, Good: confirmed, Settled: p.anyContinuousContact()}
+	if request.Members {
+		response.Members = p.View().Members
+	}
+	return response, err
 }
 
 // syncFromPeer requests and merges the entries of a peer if the peer's digest
@@ -39,7 +56,7 @@
 	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
 	defer cancel()
 	var response stateResponse
-	if err := p.mesh.Call(ctx, from, lavmesh.TopicEntries, struct{}{}, &response); err != nil {
+	if err := p.mesh.Call(ctx, from, lavmesh.TopicEntries, stateRequest{Members: !confirmed}, &response); err != nil {
 		p.logger.Warn().Err(err).Str("Peer", from).Msg("failed to request entries from peer")
 		return
 	}
@@ -53,6 +70,11 @@
 	if source := p.byIncarnation[from]; source != nil {
 		source.differsSince = time.Time{}
 	}
+	for _, m := range response.Members {
+		if p.byIncarnation[m.Incarnation] == nil {
+			p.upsert(m)
+		}
+	}
 	p.mu.Unlock()
 	if response.Good && p.confirmation.confirm(epoch) {
 		p.logger.Info().Str("Peer", from).Msg("knowledge confirmed by a peer")
--- a/lavmember/owner.go
+++ b/lavmember/owner.go
@@ -74,6 +74,11 @@
 	return rank
 }
 
+// RanksHigher reports whether incarnation a has a higher rendezvous weight for name than b.
+func RanksHigher(name, a, b string) bool {
+	return rendezvousWeight(a, name) > rendezvousWeight(b, name)
+}
+
 // HighestRanked returns the n members with the highest rendezvous weights for name, the
 // highest first. It returns fewer if the view has fewer members.
 func HighestRanked(v *View, name string, n int) []Member {
--- a/lavmesh/link.go
+++ b/lavmesh/link.go
@@ -284,6 +284,8 @@
 		if err := l.send(ctx, data); err != nil {
 			return
 		}
+		// Any message shows the peer that the link works.
+		ping.Reset(l.timing.Ping)
 	}
 }
 
--- a/lavmesh/message.go
+++ b/lavmesh/message.go
@@ -44,6 +44,8 @@
 	TopicNews
 	// TopicEntries requests the store entries that a peer has.
 	TopicEntries
+	// TopicSuspicion broadcasts that a host can't be reached.
+	TopicSuspicion
 	topicEnd
 )
 
--- a/lavmesh/topic_string.go
+++ b/lavmesh/topic_string.go
@@ -24,12 +24,13 @@
 	_ = x[TopicBeat-13]
 	_ = x[TopicNews-14]
 	_ = x[TopicEntries-15]
-	_ = x[topicEnd-16]
+	_ = x[TopicSuspicion-16]
+	_ = x[topicEnd-17]
 }
 
-const _Topic_name = "topicNonePingReleaseCreditLoadQuarantineLedgerBurnReleasePullMemberViewOwnerCacheBeatNewsEntriestopicEnd"
+const _Topic_name = "topicNonePingReleaseCreditLoadQuarantineLedgerBurnReleasePullMemberViewOwnerCacheBeatNewsEntriesSuspiciontopicEnd"
 
-var _Topic_index = [...]uint8{0, 9, 13, 20, 26, 30, 40, 46, 50, 61, 67, 71, 76, 81, 85, 89, 96, 104}
+var _Topic_index = [...]uint8{0, 9, 13, 20, 26, 30, 40, 46, 50, 61, 67, 71, 76, 81, 85, 89, 96, 105, 113}
 
 func (i Topic) String() string {
 	idx := int(i) - 0
