Slow the load exchange down in large fleets

Cause: at 295 hosts each host would receive totals of 4.7 KB 20 times a second (94 KB/s), and send sixteen copies as a relay; the two aggregators received 1,000 reports a second from idle hosts alone. Change: totals come at least 0.5 ms apart for each host (148 ms at 295), name only hosts with load, and idle hosts report every 10 ms * hosts; the standby gets 3.3 reports a second of a host at most. Up to 100 hosts the rate of totals is as before.

--- a/lavhost/aggregator.go
+++ b/lavhost/aggregator.go
@@ -78,6 +78,9 @@
 			sums[own.Endpoint] = sums[own.Endpoint].Plus(load)
 		}
 		t.Slowdowns = append(t.Slowdowns, r.Slowdowns...)
+		if len(r.Loads) == 0 {
+			continue
+		}
 		t.CountedReports = append(t.CountedReports, countedReport{Host: hashName(host), Number: r.Number})
 	}
 	for endpoint, load := range sums {
--- a/lavhost/loadexchange.go
+++ b/lavhost/loadexchange.go
@@ -21,16 +21,21 @@
 const (
 	// minSendInterval is the least time between two reports of a host, and
 	// between two totals of an aggregator, in a fleet of up to sendBaseHosts.
-	// In a larger fleet the time grows in proportion, up to maxSendInterval.
-	minSendInterval = 12 * time.Millisecond
-	sendBaseHosts   = 8
-	maxSendInterval = 50 * time.Millisecond
+	// In a larger fleet the time grows in proportion, up to midSendInterval, but
+	// it is at least sendIntervalPerHost for each host: the size of totals grows
+	// with the fleet too.
+	minSendInterval     = 12 * time.Millisecond
+	sendBaseHosts       = 8
+	midSendInterval     = 50 * time.Millisecond
+	sendIntervalPerHost = 500 * time.Microsecond
 	// maxDirectHosts is the largest fleet in which each host sends its reports
 	// to all others.
 	maxDirectHosts = 16
 	// reportInterval is the time between reports of a host whose load doesn't
-	// change.
-	reportInterval = 300 * time.Millisecond
+	// change. A host without load waits for at least idleReportPerHost for each
+	// host of the fleet.
+	reportInterval    = 300 * time.Millisecond
+	idleReportPerHost = 10 * time.Millisecond
 	// reportTimeout is how long a report remains valid.
 	reportTimeout = 1200 * time.Millisecond
 	// primaryLease is how long a host publishes totals after it has received a
@@ -67,6 +72,9 @@
 	// sentReports holds this host's last reports, indexed by number modulo
 	// sentReportHistory.
 	sentReports [sentReportHistory]loadReport
+	// lastStandbyReport is when the standby aggregator was last sent a report. Only
+	// Serve uses it.
+	lastStandbyReport time.Time
 	// received holds the last report of each host, and primaryUntil is when
 	// this host ceases to be the primary aggregator.
 	received     map[string]receivedReport
@@ -102,14 +110,25 @@
 // fleet.
 func (l *loadExchange) sendInterval() time.Duration {
 	hosts := time.Duration(len(l.views.View().Members))
-	return min(minSendInterval*max(hosts, sendBaseHosts)/sendBaseHosts, maxSendInterval)
+	interval := min(minSendInterval*max(hosts, sendBaseHosts)/sendBaseHosts, midSendInterval)
+	return max(interval, hosts*sendIntervalPerHost)
+}
+
+// reportIntervalFor returns the time until this host's next report if its load
+// doesn't change.
+func (l *loadExchange) reportIntervalFor(r loadReport) time.Duration {
+	if !r.idle() {
+		return reportInterval
+	}
+	return max(reportInterval, time.Duration(len(l.views.View().Members))*idleReportPerHost)
 }
 
 // Serve implements suture.Service. It reports this host's load when it changes,
 // and at least every reportInterval.
 func (l *loadExchange) Serve(ctx context.Context) error {
+	interval := reportInterval
 	for {
-		timer := time.NewTimer(reportInterval)
+		timer := time.NewTimer(interval)
 		select {
 		case <-ctx.Done():
 			timer.Stop()
@@ -118,35 +137,49 @@
 		case <-timer.C:
 		}
 		timer.Stop()
-		l.sendReport()
+		interval = l.reportIntervalFor(l.sendReport())
 		// Changes during the pause are sent in one report.
 		_ = lavpause.For(ctx, l.sendInterval())
 	}
 }
 
 // sendReport sends this host's load to the aggregators, or to all hosts of a
-// small fleet.
-func (l *loadExchange) sendReport() {
-	own := l.fleet.LocalReport()
-	l.mu.Lock()
-	l.reportNumber++
-	r := loadReport{Number: l.reportNumber, Host: l.views.Self().Incarnation, Loads: encodeLoads(own), Slowdowns: encodeSlowdowns(own)}
-	l.sentReports[r.Number%sentReportHistory] = r
-	l.mu.Unlock()
+// small fleet, and returns the report. The standby aggregator receives only one
+// report per reportInterval.
+func (l *loadExchange) sendReport() loadReport {
+	r := l.nextReport()
 	view := l.views.View()
 	if l.exchangesDirectly() {
 		l.acceptReport(r)
 		l.sendReportTo(r, membersExcept(view, r.Host))
-		return
+		return r
 	}
 	for rank, member := range aggregatorsOf(view) {
 		r.Primary = rank == 0
+		if !r.Primary && time.Since(l.lastStandbyReport) < reportInterval {
+			continue
+		}
+		if !r.Primary {
+			l.lastStandbyReport = time.Now()
+		}
 		if member.Incarnation == r.Host {
 			l.acceptReport(r)
 		} else {
 			l.sendReportTo(r, []lavmember.Member{member})
 		}
 	}
+	return r
+}
+
+// nextReport returns a report of this host's load and remembers it.
+func (l *loadExchange) nextReport() loadReport {
+	own := l.fleet.LocalReport()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.reportNumber++
+	r := loadReport{Number: l.reportNumber, Host: l.views.Self().Incarnation, Loads: encodeLoads(own), Slowdowns: encodeSlowdowns(own)}
+	l.sentReports[r.Number%sentReportHistory] = r
+	return r
 }
 
 // sendReportTo sends a report to the given members.
--- a/lavhost/loadmessages.go
+++ b/lavhost/loadmessages.go
@@ -26,12 +26,15 @@
 	Slowdowns []endpointSlowdown `cbor:"5,keyasint,omitempty"`
 }
 
+// idle reports whether the report contains no load.
+func (r loadReport) idle() bool { return len(r.Loads) == 0 && len(r.Slowdowns) == 0 }
+
 // loadTotals is the load that all hosts together have placed on the endpoints.
 type loadTotals struct {
 	Loads     []endpointLoad     `cbor:"1,keyasint,omitempty"`
 	Slowdowns []endpointSlowdown `cbor:"2,keyasint,omitempty"`
-	// CountedReports identifies the report of each host that is included in the
-	// sum.
+	// CountedReports identifies the report of each host with load that is
+	// included in the sum.
 	CountedReports []countedReport `cbor:"3,keyasint,omitempty"`
 	// Aggregator is the incarnation of the host that added up the reports.
 	// Number increases with each of its sums.
--- a/lavhost/tree_test.go
+++ b/lavhost/tree_test.go
@@ -9,8 +9,11 @@
 	"lavenderrack.example/lavenderrack/lavassert"
 	"lavenderrack.example/lavenderrack/lavconfig"
 	"lavenderrack.example/lavenderrack/lavdatagram"
+	"lavenderrack.example/lavenderrack/lavfleet"
 	"lavenderrack.example/lavenderrack/lavmember"
 	"lavenderrack.example/lavenderrack/lavplan"
+
+	"github.com/uber-go/tally/v4"
 )
 
 // Sizes of the largest fleet to support.
@@ -91,3 +94,45 @@
 	load := lavplan.Load{Requests: 3, Strict: 2, Medium: 1, Late: 1, Prefill: 1234 * time.Millisecond, KVTokens: 64 * 700}
 	lavassert.Equal(t, "load after encoding and decoding", newEndpointLoad(1, load).toLoad(), load)
 }
+
+// TestExchangeRates checks the rates of the load exchange in fleets of various sizes. An
+// aggregator must not receive more reports from idle hosts the larger the fleet is.
+func TestExchangeRates(t *testing.T) {
+	idle, busy := loadReport{}, loadReport{Loads: []endpointLoad{{Requests: 1}}}
+	for _, c := range []struct {
+		hosts      int
+		send, idle time.Duration
+	}{
+		{8, 12 * time.Millisecond, 300 * time.Millisecond},
+		{22, 33 * time.Millisecond, 300 * time.Millisecond},
+		{88, 50 * time.Millisecond, 880 * time.Millisecond},
+		{300, 150 * time.Millisecond, 3 * time.Second},
+	} {
+		t.Run(fmt.Sprint("Hosts=", c.hosts), func(t *testing.T) {
+			l := newLoadExchange(lavdatagram.New(nil, tally.NoopScope), lavfleet.New(lavfleet.Bounds{}), fixedView{testView(c.hosts, 5)}, discardLogger)
+			lavassert.Equal(t, "time between totals", l.sendInterval(), c.send)
+			lavassert.Equal(t, "time between reports without load", l.reportIntervalFor(idle), c.idle)
+			lavassert.Equal(t, "time between reports with load", l.reportIntervalFor(busy), reportInterval)
+		})
+	}
+}
+
+// fixedView is a lavmesh.Membership whose first member is this host.
+type fixedView struct{ view *lavmember.View }
+
+// View implements lavmesh.Membership.
+func (f fixedView) View() *lavmember.View { return f.view }
+
+// Self implements lavmesh.Membership.
+func (f fixedView) Self() lavmember.Member { return f.view.Members[0] }
+
+// TestIdleHostsAreNotCounted checks that totals name only hosts that have reported load: the
+// others have nothing to subtract.
+func TestIdleHostsAreNotCounted(t *testing.T) {
+	l := newLoadExchange(lavdatagram.New(nil, tally.NoopScope), lavfleet.New(lavfleet.Bounds{}), fixedView{testView(60, 5)}, discardLogger)
+	l.acceptReport(loadReport{Number: 1, Host: "idle"})
+	l.acceptReport(loadReport{Number: 7, Host: "busy", Loads: []endpointLoad{{Endpoint: 5, Requests: 2}}})
+	sum := l.sumReports()
+	lavassert.Equal(t, "counted reports", sum.CountedReports, []countedReport{{Host: hashName("busy"), Number: 7}})
+	lavassert.Equal(t, "loads", sum.Loads, []endpointLoad{{Endpoint: 5, Requests: 2}})
+}
