Limit bytes without end from endpoints, and count only events as progress

An endless status line, header, series of informational responses, body of another response, event, or comments were read until the caller's deadline (all of the 8 MiB offered), an endless event in quadratic time (8.8 s of processor time for 8 MiB); a stream that dribbled bytes or comments was kept. Cause: http.ReadResponse limits no header; the silence limit was reset by every read; an unfinished event was kept without a limit. Change: heads take at most 64 KiB of a connection, responses to other requests 1 MiB each; a stream may send 256 KiB without an event that has data or an ID, and the silence limit counts from event to event. All responses together buffer at most 24 MiB beyond 64 KiB each; a host has 184 MB, and 200 endless bodies took 8 MiB each. Slow sound streams, an event each 1.5 s beside a limit of 1.7 s, go on as before.

--- a/lavconn/exchange.go
+++ b/lavconn/exchange.go
@@ -1,7 +1,6 @@
 package lavconn
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"io"
@@ -103,14 +102,17 @@
 	}
 	written := c.writeRequest(r)
 	for range maxUnmatchedResponses + 1 {
+		c.received.limit(maxHeadBytes)
 		response, err := c.readHead(r.Method)
 		if err != nil {
 			return nil, c.markSendState(err, written)
 		}
 		if matches(response, fresh) {
+			c.received.unlimit()
 			return c.newResponse(response), nil
 		}
 		fresh = false
+		c.received.limit(maxUnmatchedBytes)
 		if _, err := io.Copy(io.Discard, response.Body); err != nil {
 			return nil, errors.Mark(err, ErrResponseLost)
 		}
@@ -261,8 +263,5 @@
 // package and not by the connection.
 func TimedOut(err error) bool { return errors.Is(err, os.ErrDeadlineExceeded) }
 
-// newReader returns a buffered reader for a connection.
-func newReader(r io.Reader) *bufio.Reader { return bufio.NewReaderSize(r, readBufferBytes) }
-
 // readBufferBytes is large enough for a response header and several events.
 const readBufferBytes = 4 << 10
--- a/lavconn/pool.go
+++ b/lavconn/pool.go
@@ -39,7 +39,9 @@
 	net.Conn
 	pool    *Pool
 	address netip.AddrPort
-	reader  *bufio.Reader
+	// received limits the bytes that reader takes from the connection.
+	received *limitedReader
+	reader   *bufio.Reader
 	// uses is the number of exchanges started on the connection.
 	uses int
 	// lastWrite is the write of the current exchange's request.
@@ -76,7 +78,9 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: raw, pool: p, address: address, reader: newReader(raw)}, nil
+	received := &limitedReader{Reader: raw}
+	reader := bufio.NewReaderSize(received, readBufferBytes)
+	return &conn{Conn: raw, pool: p, address: address, received: received, reader: reader}, nil
 }
 
 // pop removes and returns the most recently used idle connection, which is the
--- a/lavrelay/attempt.go
+++ b/lavrelay/attempt.go
@@ -140,15 +140,12 @@
 	return t.forwardWhole(response, head)
 }
 
-// maxBufferedBytes is how much of a response is read before any of it is forwarded. A
-// response that is not larger can be replaced if it turns out to be incomplete.
-const maxBufferedBytes = 8 << 20
-
 // forwardWhole forwards a response that is not a stream. It returns again for a server error
 // if the request may be retried on another endpoint.
 func (t *task) forwardWhole(response *lavconn.Response, head platform.Response) (Outcome, error) {
 	defer func() { response.Close(head.IdleTimeout) }()
-	body, err := io.ReadAll(io.LimitReader(response, maxBufferedBytes))
+	body, release, err := t.relay.readBuffered(response)
+	defer release()
 	if err != nil {
 		return 0, err
 	}
--- a/lavrelay/events.go
+++ b/lavrelay/events.go
@@ -10,18 +10,26 @@
 	lastID string
 	// count is the number of complete events.
 	count int
+	// sinceData is the number of bytes since the last event with data or an ID.
+	sinceData int
 }
 
+// maxBytesWithoutData is how many bytes a stream may send without an event that has data or
+// an ID. It also limits the size of an event.
+const maxBytesWithoutData = 256 << 10
+
 var (
 	eventEnd     = []byte("\n\n")
 	eventEndCRLF = []byte("\r\n\r\n")
 	idField      = []byte("id:")
+	dataField    = []byte("data")
 )
 
 // feed adds bytes of the stream and returns the events that are complete with them. The
 // result is valid until the next call.
 func (e *events) feed(p []byte) []byte {
 	e.partial = append(e.partial, p...)
+	e.sinceData += len(p)
 	whole := 0
 	for {
 		n := firstEventLength(e.partial[whole:])
@@ -49,19 +57,30 @@
 	}
 }
 
-// record counts a complete event and stores its ID, if it has one.
+// record counts a complete event and stores its ID, if it has one. Comments and blank
+// lines count as no event.
 func (e *events) record(event []byte) {
-	e.count++
+	hasData := false
 	for line := range bytes.Lines(event) {
-		if id, ok := bytes.CutPrefix(line, idField); ok {
+		id, hasID := bytes.CutPrefix(line, idField)
+		if hasID {
 			e.lastID = string(bytes.TrimSpace(id))
 		}
+		hasData = hasData || hasID || bytes.HasPrefix(line, dataField)
+	}
+	if hasData {
+		e.count++
+		e.sinceData = 0
 	}
 }
 
+// endless reports whether the stream has sent so much without data that it may never send
+// any.
+func (e *events) endless() bool { return e.sinceData > maxBytesWithoutData }
+
 // truncated reports whether the stream would end inside an event if it ended now. Only
 // blank lines may follow the last event.
 func (e *events) truncated() bool { return len(bytes.Trim(e.partial, "\r\n")) > 0 }
 
 // discardPartial drops the beginning of an event whose end will not be received.
-func (e *events) discardPartial() { e.partial = nil }
+func (e *events) discardPartial() { e.partial, e.sinceData = nil, 0 }
--- /dev/null
+++ b/lavrelay/progress.go
@@ -0,0 +1,52 @@
+package lavrelay
+
+import (
+	"context"
+	"time"
+
+	"lavenderrack.example/lavenderrack/lavconn"
+
+	"github.com/cockroachdb/errors"
+)
+
+// progress tracks when events of a stream arrive. Only events count: an endpoint that sends
+// a byte or a comment now and then makes no progress.
+type progress struct {
+	task      *task
+	placement *placement
+	response  *lavconn.Response
+	// ctx is the context of the call, for queries of a slow endpoint.
+	ctx context.Context
+	// silenceLimit is the longest time between two events, zero if there is no limit.
+	silenceLimit time.Duration
+	// begun is true once an event has arrived, the last one at lastEventAt.
+	begun       bool
+	lastEventAt time.Time
+}
+
+func (t *task) newProgress(ctx context.Context, c *placement, response *lavconn.Response) *progress {
+	silenceLimit, _ := t.silenceLimits(t.runs)
+	return &progress{task: t, placement: c, response: response, ctx: ctx, silenceLimit: silenceLimit}
+}
+
+// limitSilence limits the time until the next event, counted from now.
+func (p *progress) limitSilence() error {
+	if p.silenceLimit == 0 {
+		return nil
+	}
+	return errors.Mark(p.response.SetReadTimeout(p.silenceLimit), lavconn.ErrResponseLost)
+}
+
+// recordEvent records that an event has arrived.
+func (p *progress) recordEvent() error {
+	now := time.Now()
+	switch {
+	case !p.begun:
+		p.task.stopWatch()
+		p.placement.run.RecordFirstEvent()
+	case p.placement.run.RecordGap(now.Sub(p.lastEventAt)):
+		p.task.querySlowdown(p.ctx, p.placement.endpoint)
+	}
+	p.begun, p.lastEventAt = true, now
+	return p.limitSilence()
+}
--- a/lavrelay/relay.go
+++ b/lavrelay/relay.go
@@ -43,6 +43,8 @@
 	logger    *log.Logger
 	draw      func() float64
 	metrics   metrics
+	// buffers is what responses may still buffer.
+	buffers byteBudget
 	// reservationLease is the lease duration that is requested for reservations.
 	reservationLease time.Duration
 	// background tracks slowdown queries and control orders, which may outlive their call.
@@ -55,7 +57,7 @@
 
 // New returns a relay for the endpoints of a fleet. draw returns random numbers in [0, 1).
 func New(pool *lavconn.Pool, fleet *lavfleet.Fleet, readiness Readiness, suspects Suspects, logger *log.Logger, scope tally.Scope, draw func() float64) *Relay {
-	return &Relay{
+	r := &Relay{
 		pool:             pool,
 		fleet:            fleet,
 		readiness:        readiness,
@@ -65,6 +67,8 @@
 		metrics:          newMetrics(scope),
 		reservationLease: reservationLease,
 	}
+	r.buffers.add(maxTotalBuffered)
+	return r
 }
 
 // LimitReservationLease limits the lease of reservations to the longest that endpoints
--- a/lavrelay/stream.go
+++ b/lavrelay/stream.go
@@ -19,6 +19,9 @@
 // framing ended properly.
 var errStreamTruncated = errors.New("stream is truncated")
 
+// errStreamEndless means that a stream sent too much without an event.
+var errStreamEndless = errors.New("stream sends bytes without end, but no event")
+
 // errCallerDisconnected means that the caller accepts no more bytes.
 var errCallerDisconnected = errors.New("caller disconnected")
 
@@ -27,40 +30,32 @@
 	defer func() { response.Close(head.IdleTimeout) }()
 	// A resumed stream begins with a whole event, so the old partial one is dropped.
 	t.events.discardPartial()
-	silenceLimit, _ := t.silenceLimits(t.runs)
+	progress := t.newProgress(ctx, c, response)
 	buffer := make([]byte, streamBufferBytes)
-	seenEvent := false
-	var lastEventAt time.Time
+	if err := progress.limitSilence(); err != nil {
+		return 0, err
+	}
 	for {
-		if silenceLimit > 0 {
-			if err := response.SetReadTimeout(silenceLimit); err != nil {
-				return 0, errors.Mark(err, lavconn.ErrResponseLost)
-			}
-		}
 		n, err := response.Read(buffer)
 		if n > 0 {
+			before := t.events.count
 			whole := t.events.feed(buffer[:n])
-			if len(whole) > 0 {
-				now := time.Now()
-				if seenEvent {
-					if c.run.RecordGap(now.Sub(lastEventAt)) {
-						t.querySlowdown(ctx, c.endpoint)
-					}
-				} else {
-					seenEvent = true
-					t.stopWatch()
-					c.run.RecordFirstEvent()
+			if t.events.count > before {
+				if err := progress.recordEvent(); err != nil {
+					return 0, err
 				}
-				lastEventAt = now
 			}
 			if t.forwardBytes(response, whole) != nil {
 				return OutcomeLeft, nil
 			}
 		}
+		if t.events.endless() {
+			return 0, errors.Mark(errStreamEndless, lavconn.ErrResponseLost)
+		}
 		t.trace.partialBytes = len(t.events.partial)
 		switch {
 		case errors.Is(err, io.EOF):
-			return t.endStream(response, seenEvent)
+			return t.endStream(response, progress.begun)
 		case err != nil:
 			return 0, t.streamError(ctx, err)
 		}
