Report which settings each host has in force, and show it for a fleet

What users saw: after a change of the settings files nobody could tell which hosts had taken it. Cause: a reload applied three fields, ignored all others without a word, and logged the word reload, only after a signal; no metric named the settings. Change: changes are compared field by field; what can be applied is applied (reservation lease and directory TTL are new), what can't is logged and counted until the next start. Digest of the settings and version of the desired state are metrics; the start and each change are logged with the digests, the changed fields and the cause. lavenderrack fleet groups hosts by them and names those that differ or don't answer.

--- a/cmd/lavenderrack/main.go
+++ b/cmd/lavenderrack/main.go
@@ -35,6 +35,7 @@
   lavenderrack publish -note FILE -store URL          publish a release note
   lavenderrack status -store URL -admin ADDR,ADDR     show which hosts have the newest release
   lavenderrack burn -admin ADDR                       show the use of the error budgets
+  lavenderrack fleet ADDR...                          show what each host on the platform is running
   lavenderrack version                                print the program's version
   lavenderrack help COMMAND                           show the flags of a command
 
@@ -58,6 +59,7 @@
 	commander.Register(&entryCommand{output: output}, "")
 	commander.Register(&checkCommand{output: output}, "")
 	commander.Register(&publishCommand{output: output}, "")
+	commander.Register(&fleetCommand{output: output}, "")
 	commander.Register(&statusCommand{output: output}, "")
 	commander.Register(&burnCommand{output: output}, "")
 	commander.Register(&versionCommand{output: output}, "")
--- a/lavhost/directory.go
+++ b/lavhost/directory.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"net/netip"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"lavenderrack.example/lavenderrack/lavmember"
@@ -27,10 +28,18 @@
 // directory answers callers' lookups of entry host addresses.
 type directory struct {
 	peers *peers
-	// ttl is the validity of the responses.
-	ttl time.Duration
+	// ttl is the validity of the responses in nanoseconds.
+	ttl atomic.Int64
 }
 
+func newDirectory(p *peers, ttl time.Duration) *directory {
+	d := &directory{peers: p}
+	d.setTTL(ttl)
+	return d
+}
+
+func (d *directory) setTTL(ttl time.Duration) { d.ttl.Store(int64(ttl)) }
+
 // ServeHTTP implements http.Handler.
 func (d *directory) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path != platform.PathResolve {
@@ -43,7 +52,7 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	body, err := platform.EncodeDirectory(addresses, d.ttl)
+	body, err := platform.EncodeDirectory(addresses, time.Duration(d.ttl.Load()))
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusInternalServerError)
 		return
--- a/lavhost/host.go
+++ b/lavhost/host.go
@@ -75,6 +75,7 @@
 	fleet        *lavfleet.Fleet
 	poison       *poisonTracker
 	ingress      *ingress
+	directory    *directory
 	drain        *drain
 }
 
@@ -86,6 +87,7 @@
 	h.pool = lavconn.New(deps.Dial, maxIdlePerEndpoint)
 	h.initPeers()
 	h.initIngress()
+	h.directory = newDirectory(h.peers, boundedDirectoryTTL(settings.Bounds.MaxDirectoryTTL))
 	return h
 }
 
@@ -155,7 +157,8 @@
 
 // Serve runs the host until the context ends, then drains it and returns.
 func (h *Host) Serve(ctx context.Context) error {
-	h.deps.Logger.Info().Str("Host", h.settings.Host).Str("Incarnation", h.peers.Self().Incarnation).Msg("start")
+	h.deps.Logger.Info().Str("Host", h.settings.Host).Str("Incarnation", h.peers.Self().Incarnation).
+		Str("Settings", settingsDigest(h.settings)).Msg("start")
 	supervisor := suture.New("lavenderrack", suture.Spec{EventHook: h.logSupervisorEvent})
 	running, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
@@ -169,8 +172,16 @@
 	supervisor.Add(aggregator{h.loadExchange})
 	supervisor.Add(h.mesh)
 	supervisor.Add(&membership{leases: h.deps.Store, peers: h.peers, logger: h.deps.Logger})
-	supervisor.Add(&reloader{loadSettings: h.deps.LoadSettings, signal: h.deps.ReloadSignal, apply: h.reload, logger: h.deps.Logger})
+	supervisor.Add(&reloader{
+		loadSettings: h.deps.LoadSettings,
+		signal:       h.deps.ReloadSignal,
+		apply:        h.applySettings,
+		logger:       h.deps.Logger,
+		scope:        h.deps.Scope,
+		inForce:      h.settings,
+	})
 	supervisor.Add(&connectionSweeper{pool: h.pool, state: h.state})
+	supervisor.Add(&stateReport{host: h, scope: h.deps.Scope})
 	ended := supervisor.ServeBackground(running)
 	select {
 	case <-ctx.Done():
@@ -226,7 +237,7 @@
 	}{
 		{"callers", h.settings.Callers, h.ingress},
 		{"readiness", h.settings.Readiness, http.HandlerFunc(h.serveReadiness)},
-		{"directory", h.settings.Directory, &directory{peers: h.peers, ttl: boundedDirectoryTTL(h.settings.Bounds.MaxDirectoryTTL)}},
+		{"directory", h.settings.Directory, h.directory},
 		{"peers", h.settings.Peers, mesh},
 	}
 	for _, service := range services {
--- a/lavrelay/relay.go
+++ b/lavrelay/relay.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"lavenderrack.example/lavenderrack/lavconfig"
@@ -45,8 +46,9 @@
 	metrics   metrics
 	// buffers is what responses may still buffer.
 	buffers byteBudget
-	// reservationLease is the lease duration that is requested for reservations.
-	reservationLease time.Duration
+	// reservationLease is the lease duration that is requested for reservations, in
+	// nanoseconds.
+	reservationLease atomic.Int64
 	// background tracks slowdown queries and control orders, which may outlive their call.
 	background sync.WaitGroup
 }
@@ -58,25 +60,27 @@
 // New returns a relay for the endpoints of a fleet. draw returns random numbers in [0, 1).
 func New(pool *lavconn.Pool, fleet *lavfleet.Fleet, readiness Readiness, suspects Suspects, logger *log.Logger, scope tally.Scope, draw func() float64) *Relay {
 	r := &Relay{
-		pool:             pool,
-		fleet:            fleet,
-		readiness:        readiness,
-		suspects:         suspects,
-		logger:           logger,
-		draw:             draw,
-		metrics:          newMetrics(scope),
-		reservationLease: reservationLease,
+		pool:      pool,
+		fleet:     fleet,
+		readiness: readiness,
+		suspects:  suspects,
+		logger:    logger,
+		draw:      draw,
+		metrics:   newMetrics(scope),
 	}
+	r.reservationLease.Store(int64(reservationLease))
 	r.buffers.add(maxTotalBuffered)
 	return r
 }
 
-// LimitReservationLease limits the lease of reservations to the longest that endpoints
-// grant. Zero means no limit. It must be called before the first request.
+// LimitReservationLease limits the lease of further reservations to the longest that
+// endpoints grant. Zero means no limit.
 func (r *Relay) LimitReservationLease(longest time.Duration) {
+	lease := reservationLease
 	if longest > 0 {
-		r.reservationLease = min(reservationLease, longest)
+		lease = min(lease, longest)
 	}
+	r.reservationLease.Store(int64(lease))
 }
 
 // Serve answers a call. It panics with http.ErrAbortHandler to abort the connection if the
--- a/lavrelay/reserve.go
+++ b/lavrelay/reserve.go
@@ -93,7 +93,7 @@
 
 // reserveOne reserves or renews at one helper.
 func (h *reservationSet) reserveOne(ctx context.Context, p reservation) error {
-	body, err := platform.EncodeReserve(p.ticket, p.tokens, h.task.relay.reservationLease)
+	body, err := platform.EncodeReserve(p.ticket, p.tokens, time.Duration(h.task.relay.reservationLease.Load()))
 	if err != nil {
 		return lavstep.Wrap(err, lavstep.GangReserve, p.endpoint.ID)
 	}
