Space the heartbeats of large fleets further, and announce a host at its first link

Heartbeats of hosts that don't send their status are the largest part of the bytes between failure domains (80 a second received at every one of 295 hosts). Neighbours detect failures, so that they may be 33 ms a host apart: 9.7 s at 295 hosts, 30 a second. A host that starts sends one when its first link opens, since peers direct callers only to hosts that they have heard of.

--- a/lavhost/liveness.go
+++ b/lavhost/liveness.go
@@ -23,6 +23,9 @@
 	// smallFleetHosts is the largest fleet in which all hosts send status
 	// heartbeats.
 	smallFleetHosts = statusBaseHosts * int(maxStatusInterval/statusInterval)
+	// livenessPerHost is the time between two heartbeats of a host of a larger
+	// fleet that doesn't send its status, for each host of the fleet.
+	livenessPerHost = 33 * time.Millisecond
 	// peerTimeout is how long after its last heartbeat a peer of a small fleet
 	// counts as alive, and how long a status heartbeat is relied on.
 	peerTimeout = 2 * time.Second
@@ -44,13 +47,17 @@
 
 // statusIntervalFor returns the time between two status heartbeats of a host.
 func statusIntervalFor(hosts int) time.Duration {
-	return min(livenessIntervalFor(hosts), maxStatusInterval)
+	interval := statusInterval * time.Duration(max(hosts, statusBaseHosts)) / statusBaseHosts
+	return min(interval, maxStatusInterval)
 }
 
 // livenessIntervalFor returns the time between two heartbeats of a host that
 // doesn't report its contact with the store.
 func livenessIntervalFor(hosts int) time.Duration {
-	return statusInterval * time.Duration(max(hosts, statusBaseHosts)) / statusBaseHosts
+	if isSmallFleet(hosts) {
+		return statusIntervalFor(hosts)
+	}
+	return time.Duration(hosts) * livenessPerHost
 }
 
 // liveness is what a host knows about whether a peer is alive.
--- a/lavhost/peers.go
+++ b/lavhost/peers.go
@@ -84,6 +84,8 @@
 	// carried one, and heartbeatsSinceSelf counts the heartbeats since then.
 	lastSentSelf        lavmember.Member
 	heartbeatsSinceSelf int
+	// connected is true once the mesh has connected to a peer.
+	connected bool
 	// mustAnnounce is true if a heartbeat is due for another reason than time.
 	mustAnnounce bool
 }
@@ -127,6 +129,11 @@
 		known.lastHeartbeat = time.Now()
 	}
 	p.rebuildView()
+	if !p.connected {
+		// Peers that know this host only from the store don't direct callers to it.
+		p.connected = true
+		p.announce()
+	}
 }
 
 // upsert stores the member entry of a peer and returns the peer, or nil for
