Hold member leases for 30 s in every fleet

A host's first lease was for a fleet of one, so that in a large fleet each host asked for a second one and wrote its entry again (590 calls at the start of 295 hosts). One TTL needs no count of the fleet; a renewal costs a tenth of a call.

--- a/lavhost/membership.go
+++ b/lavhost/membership.go
@@ -18,24 +18,12 @@
 // others, which then learn from heartbeats who is alive. It may therefore
 // outlive its host.
 const (
-	// renewalsPerSecond is how often the hosts of a fleet together renew their
-	// leases, as far as minRenewInterval and maxRenewInterval allow.
-	renewalsPerSecond = 4
-	minRenewInterval  = 3 * time.Second
-	maxRenewInterval  = 20 * time.Second
-	// renewalsPerTTL is how many renewals must fail for a lease to expire.
-	renewalsPerTTL    = 3
-	maxMemberLeaseTTL = renewalsPerTTL * maxRenewInterval
+	memberLeaseTTL     = 30 * time.Second
+	leaseRenewInterval = memberLeaseTTL / 3
 	// revokeTimeout bounds the call that removes the entry.
 	revokeTimeout = 300 * time.Millisecond
 )
 
-// renewIntervalFor returns the time between two renewals of a host's lease.
-func renewIntervalFor(hosts int) time.Duration {
-	interval := time.Duration(hosts) * time.Second / renewalsPerSecond
-	return min(max(interval, minRenewInterval), maxRenewInterval)
-}
-
 // LeaseStore is the part of the store that holds a host's member entry under a
 // lease.
 type LeaseStore interface {
@@ -52,65 +40,55 @@
 	logger *log.Logger
 }
 
-// memberLease is the lease of the host's member entry, and the entry as it was
-// last written under it.
-type memberLease struct {
-	id      lavstore.LeaseID
-	ttl     time.Duration
-	written lavmember.Member
-}
-
 // Serve implements suture.Service.
 func (m *membership) Serve(ctx context.Context) error {
-	var lease memberLease
+	var lease lavstore.LeaseID
+	var written lavmember.Member
 	for ctx.Err() == nil {
-		next, err := m.renew(ctx, lease)
+		next, entry, err := m.renew(ctx, lease, written)
 		switch {
 		case errors.Is(err, lavstore.ErrLeaseGone):
-			lease = memberLease{}
+			lease, written = "", lavmember.Member{}
 			continue
 		case err != nil:
 			_ = lavpause.For(ctx, retryDelay)
 			continue
 		}
-		lease = next
+		lease, written = next, entry
 		select {
 		case <-ctx.Done():
 		case <-m.peers.selfChanged:
-		case <-time.After(lease.ttl / renewalsPerTTL):
+		case <-time.After(leaseRenewInterval):
 		}
 	}
-	m.revoke(ctx, lease.id)
+	m.revoke(ctx, lease)
 	return ctx.Err()
 }
 
-// renew renews the lease and writes the member entry if it has changed. It
-// requests a new lease if there is none, or if the fleet has grown so much since
-// that the lease is renewed too often.
-func (m *membership) renew(ctx context.Context, lease memberLease) (memberLease, error) {
+// renew renews the lease, or requests one if there is none, and writes the
+// member entry if it has changed.
+func (m *membership) renew(ctx context.Context, lease lavstore.LeaseID, written lavmember.Member) (lavstore.LeaseID, lavmember.Member, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	var err error
-	if ttl := renewalsPerTTL * renewIntervalFor(len(m.peers.View().Members)); ttl >= 2*lease.ttl {
-		lease = memberLease{ttl: ttl}
-		lease.id, err = m.leases.Grant(ctx, ttl)
+	if lease == "" {
+		lease, err = m.leases.Grant(ctx, memberLeaseTTL)
 	} else {
-		err = m.leases.Renew(ctx, lease.id)
+		err = m.leases.Renew(ctx, lease)
 	}
 	if err != nil {
-		return lease, err
+		return lease, written, err
 	}
 	self := m.peers.Self()
-	if self == lease.written {
-		return lease, nil
+	if self == written {
+		return lease, written, nil
 	}
 	value, err := json.Marshal(self)
 	if err != nil {
-		return lease, err
+		return lease, written, err
 	}
-	_, err = m.leases.Put(ctx, platform.PrefixMembers+self.Incarnation, value, lease.id)
-	lease.written = self
-	return lease, err
+	_, err = m.leases.Put(ctx, platform.PrefixMembers+self.Incarnation, value, lease)
+	return lease, self, err
 }
 
 // revoke ends the lease. If the store can't be reached, the lease expires by
--- a/lavhost/peers.go
+++ b/lavhost/peers.go
@@ -20,7 +20,7 @@
 const (
 	// deadPeerRetention is how long a dead peer is remembered, so that it
 	// doesn't count as a new member while the store still lists it.
-	deadPeerRetention = 2 * maxMemberLeaseTTL
+	deadPeerRetention = 2 * memberLeaseTTL
 	// announceInterval is the least time between two heartbeats of a host that
 	// answers suspicions.
 	announceInterval = 200 * time.Millisecond
