--- a/lavhost/peers.go
+++ b/lavhost/peers.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"context"
 	"net/netip"
 	"slices"
 	"sync"
@@ -11,7 +10,6 @@
 	"lavenderrack.example/lavenderrack/lavfleet"
 	"lavenderrack.example/lavenderrack/lavmember"
 	"lavenderrack.example/lavenderrack/lavmesh"
-	"lavenderrack.example/lavenderrack/lavpause"
 
 	"github.com/phuslu/log"
 )
@@ -181,37 +179,6 @@
 	p.seeds = seeds
 }
 
-// watcherRankKey is the key of the rendezvous hash that selects the watchers of
-// the store. All hosts of a fleet must use the same text.
-const watcherRankKey = "watcher of the store"
-
-// watches reports whether this host watches the store for others: it has one of
-// the highest ranks, or it is in contact with the store while too few peers of
-// higher rank are.
-func (p *peers) watches() bool {
-	view, self := p.View(), p.Self().Incarnation
-	if lavmember.RendezvousRank(view, watcherRankKey, self) < watcherCount {
-		return true
-	}
-	if !p.follower.inContact() {
-		return false
-	}
-	now := time.Now()
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	watchers := 0
-	for id, known := range p.byIncarnation {
-		if known.inContact && now.Sub(known.lastHeartbeat) < peerTimeout && lavmember.RanksHigher(watcherRankKey, id, self) {
-			watchers++
-		}
-	}
-	return watchers < watcherCount
-}
-
-// reliesOnWatchers reports whether this host doesn't watch the store and has the
-// same entries as a peer in contact with it.
-func (p *peers) reliesOnWatchers() bool { return !p.watches() && p.hasSyncedPeer() }
-
 // Leave announces that this host is draining.
 func (p *peers) Leave() {
 	p.mu.Lock()
@@ -225,56 +192,6 @@
 	p.announce()
 }
 
-// Serve implements suture.Service. At each status interval it adds the members
-// that the store lists, drops missing endpoints, sends a heartbeat if one is
-// due, and compares entries with the peers.
-func (p *peers) Serve(ctx context.Context) error {
-	var lastSent time.Time
-	for ctx.Err() == nil {
-		p.waitForStatus(ctx, lastSent)
-		p.addStoreMembers()
-		p.state.dropMissing(p.follower.unavailable(), p.anyContinuousContact())
-		if p.heartbeatDue(lastSent) {
-			lastSent = time.Now()
-			p.sendHeartbeat()
-		}
-		p.syncFromPeer(ctx)
-	}
-	return ctx.Err()
-}
-
-// waitForStatus waits for the status interval, or until this host must announce
-// itself.
-func (p *peers) waitForStatus(ctx context.Context, lastSent time.Time) {
-	timer := time.NewTimer(statusIntervalFor(len(p.View().Members)))
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	case <-p.announced:
-		_ = lavpause.For(ctx, announceInterval-time.Since(lastSent))
-		p.mu.Lock()
-		p.mustAnnounce = true
-		p.mu.Unlock()
-	}
-}
-
-// heartbeatDue reports whether this host must send a heartbeat: at each status
-// interval if it sends its status, otherwise at the liveness interval.
-func (p *peers) heartbeatDue(lastSent time.Time) bool {
-	_, confirmed := p.confirmation.check()
-	p.mu.Lock()
-	announce := p.mustAnnounce
-	p.mustAnnounce = false
-	hosts := len(p.view.Members)
-	p.mu.Unlock()
-	return announce || !confirmed || p.sendsStatus() || time.Since(lastSent) >= livenessIntervalFor(hosts)
-}
-
-// sendsStatus reports whether peers may rely on the status in this host's
-// heartbeats.
-func (p *peers) sendsStatus() bool { return isSmallFleet(len(p.View().Members)) || p.watches() }
-
 // addStoreMembers adds the members that the store lists. It doesn't overwrite
 // the member entry of a peer that has sent heartbeats.
 func (p *peers) addStoreMembers() {
@@ -289,42 +206,6 @@
 	p.rebuildView()
 }
 
-// contactReportTTL is how long after a heartbeat the continuous contact that it
-// reported is relied on.
-const contactReportTTL = time.Second
-
-// anyContinuousContact reports whether this host or a peer has been in
-// continuous contact with the store. If so, a removed entry is gone and has not
-// merely expired during an outage of the store.
-func (p *peers) anyContinuousContact() bool {
-	if p.follower.continuousContact() {
-		return true
-	}
-	now := time.Now()
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, known := range p.byIncarnation {
-		if known.continuousContact && now.Sub(known.lastHeartbeat) < contactReportTTL {
-			return true
-		}
-	}
-	return false
-}
-
-// hasSyncedPeer reports whether a live peer that is in contact with the store
-// has the same entries as this host.
-func (p *peers) hasSyncedPeer() bool {
-	now := time.Now()
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, known := range p.byIncarnation {
-		if known.confirmed && known.inContact && known.differsSince.IsZero() && now.Sub(known.lastHeartbeat) < peerTimeout {
-			return true
-		}
-	}
-	return false
-}
-
 // Alive returns the members to which callers may be directed: those that are
 // alive, have been heard of, and are not draining. The store may still list a
 // member that is dead.
--- /dev/null
+++ b/lavhost/peerservice.go
@@ -0,0 +1,58 @@
+package lavhost
+
+import (
+	"context"
+	"time"
+
+	"lavenderrack.example/lavenderrack/lavpause"
+)
+
+// Serve implements suture.Service. At each status interval it adds the members
+// that the store lists, drops missing endpoints, sends a heartbeat if one is
+// due, and compares entries with the peers.
+func (p *peers) Serve(ctx context.Context) error {
+	var lastSent time.Time
+	for ctx.Err() == nil {
+		p.waitForStatus(ctx, lastSent)
+		p.addStoreMembers()
+		p.state.dropMissing(p.follower.unavailable(), p.anyContinuousContact())
+		if p.heartbeatDue(lastSent) {
+			lastSent = time.Now()
+			p.sendHeartbeat()
+		}
+		p.syncFromPeer(ctx)
+	}
+	return ctx.Err()
+}
+
+// waitForStatus waits for the status interval, or until this host must announce
+// itself.
+func (p *peers) waitForStatus(ctx context.Context, lastSent time.Time) {
+	timer := time.NewTimer(statusIntervalFor(len(p.View().Members)))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-p.announced:
+		_ = lavpause.For(ctx, announceInterval-time.Since(lastSent))
+		p.mu.Lock()
+		p.mustAnnounce = true
+		p.mu.Unlock()
+	}
+}
+
+// heartbeatDue reports whether this host must send a heartbeat: at each status
+// interval if it sends its status, otherwise at the liveness interval.
+func (p *peers) heartbeatDue(lastSent time.Time) bool {
+	_, confirmed := p.confirmation.check()
+	p.mu.Lock()
+	announce := p.mustAnnounce
+	p.mustAnnounce = false
+	hosts := len(p.view.Members)
+	p.mu.Unlock()
+	return announce || !confirmed || p.sendsStatus() || time.Since(lastSent) >= livenessIntervalFor(hosts)
+}
+
+// sendsStatus reports whether peers may rely on the status in this host's
+// heartbeats.
+func (p *peers) sendsStatus() bool { return isSmallFleet(len(p.View().Members)) || p.watches() }
