Answer requests accepted just before a planned stop ends, and let hosts rejoin faster

Cause of the first: at the end of a drain the server for callers was closed while requests that had come since the last check were running, up to a second while background queries were awaited; they were cut without an answer. The listener is closed first now, and requests that were accepted are waited for. Heartbeats of large fleets carry the entry, and a host that starts or reconnects sends them each 1.2 s for 5 s.

--- a/lavhost/drain.go
+++ b/lavhost/drain.go
@@ -18,6 +18,11 @@
 	// requests: callers may use a directory response for three times its
 	// validity.
 	lingerTime = 3 * directoryTTL
+	// maxCloseWait and minCloseWait bound the wait for requests that were accepted just
+	// before the listener for callers closed. Together with the exit they fit into
+	// exitMargin if the grace period has ended.
+	maxCloseWait = 2 * time.Second
+	minCloseWait = 200 * time.Millisecond
 	// drainPollInterval is the time between checks whether the last request has
 	// ended.
 	drainPollInterval = 50 * time.Millisecond
--- a/lavhost/heartbeat.go
+++ b/lavhost/heartbeat.go
@@ -29,8 +29,9 @@
 	SendsStatus bool `cbor:"7,keyasint,omitempty"`
 }
 
-// heartbeatsPerMember is how many heartbeats a host sends for each one that
-// carries its unchanged member entry.
+// heartbeatsPerMember is how many heartbeats a host of a small fleet sends for each one that
+// carries its unchanged member entry. In a larger fleet every heartbeat carries it, since the
+// next one is seconds away.
 const heartbeatsPerMember = 3
 
 func (p *peers) sendHeartbeat() {
@@ -56,7 +57,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.heartbeatsSinceSelf++
-	if p.self == p.lastSentSelf && p.heartbeatsSinceSelf < heartbeatsPerMember {
+	if isSmallFleet(len(p.view.Members)) && p.self == p.lastSentSelf && p.heartbeatsSinceSelf < heartbeatsPerMember {
 		return nil
 	}
 	p.lastSentSelf, p.heartbeatsSinceSelf = p.self, 0
--- a/lavhost/host.go
+++ b/lavhost/host.go
@@ -77,6 +77,8 @@
 	ingress      *ingress
 	directory    *directory
 	drain        *drain
+	// callers serves the requests of callers. listen sets it.
+	callers *httpService
 }
 
 // New returns a host with the given settings and dependencies. Serve runs it.
@@ -205,11 +207,20 @@
 	h.drain.start()
 	h.peers.Leave()
 	h.drain.wait(ctx, h.ingress)
+	h.closeCallers(ctx)
 	h.ingress.relay.Wait()
 	h.poison.Wait()
 	h.deps.Logger.Info().Int64("Running", h.ingress.running.Load()).Msg("drained")
 }
 
+// closeCallers closes the listener for callers, and waits for the requests that came between
+// the end of the drain and that.
+func (h *Host) closeCallers(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, max(min(h.drain.remaining(), maxCloseWait), minCloseWait))
+	defer cancel()
+	h.callers.shutdown(ctx)
+}
+
 func (h *Host) logSupervisorEvent(e suture.Event) {
 	h.deps.Logger.Warn().Str("Event", e.String()).Msg("supervisor")
 }
@@ -245,7 +256,11 @@
 		if err != nil {
 			return errors.Wrapf(err, "listen for %s", service.name)
 		}
-		supervisor.Add(&httpService{name: service.name, listener: l, handler: service.handler, logger: h.deps.Logger})
+		served := newHTTPService(service.name, l, service.handler, h.deps.Logger)
+		if service.at == h.settings.Callers {
+			h.callers = served
+		}
+		supervisor.Add(served)
 	}
 	h.serveMetrics(supervisor)
 	return nil
@@ -262,7 +277,7 @@
 		h.deps.Logger.Error().Err(err).Msg("failed to listen for metrics")
 		return
 	}
-	supervisor.Add(&httpService{name: "metrics", listener: l, handler: h.deps.MetricsHandler, logger: h.deps.Logger})
+	supervisor.Add(newHTTPService("metrics", l, h.deps.MetricsHandler, h.deps.Logger))
 }
 
 // sweepInterval is the time between two sweeps of idle connections.
--- a/lavhost/httpservice.go
+++ b/lavhost/httpservice.go
@@ -24,31 +24,51 @@
 type httpService struct {
 	name     string
 	listener net.Listener
-	handler  http.Handler
+	server   *http.Server
 	logger   *log.Logger
 }
 
-// Serve implements suture.Service.
-func (s *httpService) Serve(ctx context.Context) error {
-	server := &http.Server{
-		Handler:           s.handler,
+func newHTTPService(name string, l net.Listener, h http.Handler, logger *log.Logger) *httpService {
+	return &httpService{name: name, listener: l, logger: logger, server: &http.Server{
+		Handler:           h,
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
-		ErrorLog:          s.logger.Std("http", 0),
-	}
+		ErrorLog:          logger.Std("http", 0),
+	}}
+}
+
+// Serve implements suture.Service.
+func (s *httpService) Serve(ctx context.Context) error {
 	ended := make(chan error, 1)
-	go func() { ended <- server.Serve(s.listener) }()
+	go func() { ended <- s.server.Serve(s.listener) }()
 	select {
 	case <-ctx.Done():
-		// All requests have been drained before the context ends.
-		_ = server.Close()
-		if err := <-ended; !errors.Is(err, http.ErrServerClosed) {
-			s.logger.Warn().Err(err).Str("Face", s.name).Msg("listener ended")
-		}
+		// The caller of shutdown has waited for the requests that must be answered.
+		_ = s.server.Close()
+		s.logEnd(<-ended)
 		return ctx.Err()
 	case err := <-ended:
+		s.logEnd(err)
+		if !errors.Is(err, http.ErrServerClosed) {
+			return suture.ErrTerminateSupervisorTree
+		}
+		<-ctx.Done()
+		return ctx.Err()
+	}
+}
+
+// logEnd logs the end of the listener unless the service has closed it.
+func (s *httpService) logEnd(err error) {
+	if !errors.Is(err, http.ErrServerClosed) {
 		s.logger.Error().Err(err).Str("Face", s.name).Msg("listener ended")
-		return suture.ErrTerminateSupervisorTree
+	}
+}
+
+// shutdown closes the listener and waits until the requests that have been accepted are
+// answered, or until the context ends.
+func (s *httpService) shutdown(ctx context.Context) {
+	if err := s.server.Shutdown(ctx); err != nil {
+		s.logger.Warn().Err(err).Str("Face", s.name).Msg("requests are still running")
 	}
 }
--- a/lavhost/liveness.go
+++ b/lavhost/liveness.go
@@ -29,6 +29,10 @@
 	// peerTimeout is how long after its last heartbeat a peer of a small fleet
 	// counts as alive, and how long a status heartbeat is relied on.
 	peerTimeout = 2 * time.Second
+	// joinTime is how long after its start or its return a host sends heartbeats
+	// at joinInterval or more often, since links are only being opened.
+	joinTime     = 5 * time.Second
+	joinInterval = 1200 * time.Millisecond
 	// missedHeartbeats is how many heartbeats a peer of a larger fleet must miss
 	// to count as dead without a suspicion.
 	missedHeartbeats = 3
@@ -72,9 +76,14 @@
 // heard reports whether the peer itself has ever been heard of.
 func (l liveness) heard() bool { return !l.lastHeartbeat.IsZero() }
 
+// unanswered reports whether the peer has not been heard of since it was suspected.
+func (l liveness) unanswered() bool {
+	return !l.suspectedAt.IsZero() && !l.lastHeartbeat.After(l.suspectedAt)
+}
+
 // alive reports whether the peer counts as alive in a fleet of the given size.
 func (l liveness) alive(now time.Time, hosts int) bool {
-	if !l.suspectedAt.IsZero() && !l.lastHeartbeat.After(l.suspectedAt) && now.Sub(l.suspectedAt) > suspicionTimeout {
+	if l.unanswered() && now.Sub(l.suspectedAt) > suspicionTimeout {
 		return false
 	}
 	if !l.heard() {
--- a/lavhost/peers.go
+++ b/lavhost/peers.go
@@ -84,6 +84,8 @@
 	heartbeatsSinceSelf int
 	// connected is true once the mesh has connected to a peer.
 	connected bool
+	// joinedAt is when this host last began to join the others.
+	joinedAt time.Time
 	// mustAnnounce is true if a heartbeat is due for another reason than time.
 	mustAnnounce bool
 }
@@ -119,19 +121,24 @@
 	return &lavmember.View{Members: members}
 }
 
-// PeerConnected implements lavmesh.PeerObserver.
+// PeerConnected implements lavmesh.PeerObserver. A host that connects to its first peer, or
+// again to one that it could not reach, announces itself: peers may not have heard of it, or
+// may count it as dead.
 func (p *peers) PeerConnected(m lavmember.Member) {
+	now := time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if known := p.upsert(m); known != nil {
-		known.lastHeartbeat = time.Now()
+	known := p.upsert(m)
+	if known == nil {
+		return
 	}
-	p.rebuildView()
-	if !p.connected {
-		// Peers that know this host only from the store don't direct callers to it.
+	if !p.connected || known.unanswered() {
 		p.connected = true
+		p.joinedAt = now
 		p.announce()
 	}
+	known.lastHeartbeat = now
+	p.rebuildView()
 }
 
 // upsert stores the member entry of a peer and returns the peer, or nil for
--- a/lavhost/peerservice.go
+++ b/lavhost/peerservice.go
@@ -42,15 +42,22 @@
 }
 
 // heartbeatDue reports whether this host must send a heartbeat: at each status
-// interval if it sends its status, otherwise at the liveness interval.
+// interval if it sends its status, otherwise at the liveness interval, or sooner
+// while it joins the others.
 func (p *peers) heartbeatDue(lastSent time.Time) bool {
 	_, confirmed := p.confirmation.check()
+	if !confirmed || p.sendsStatus() {
+		return true
+	}
 	p.mu.Lock()
+	defer p.mu.Unlock()
 	announce := p.mustAnnounce
 	p.mustAnnounce = false
-	hosts := len(p.view.Members)
-	p.mu.Unlock()
-	return announce || !confirmed || p.sendsStatus() || time.Since(lastSent) >= livenessIntervalFor(hosts)
+	interval := livenessIntervalFor(len(p.view.Members))
+	if time.Since(p.joinedAt) < joinTime {
+		interval = min(interval, joinInterval)
+	}
+	return announce || time.Since(lastSent) >= interval
 }
 
 // sendsStatus reports whether peers may rely on the status in this host's
