--- a/lavfleet/fleet.go
+++ b/lavfleet/fleet.go
@@ -260,9 +260,7 @@
 	Service    lavconfig.Service
 	Endpoints  []lavconfig.Endpoint
 	Candidates []lavplan.Candidate
-	// Primaries is the number of candidates that are not HelperOnly.
-	Primaries int
-	// RateLimited is true if candidates are HelperOnly because this host has used up
+	// RateLimited is true if endpoints were left out because this host has used up
 	// its share of the requests that they accept while they are cold.
 	RateLimited bool
 	// Hosts is the number of hosts that may send requests to the service.
@@ -271,8 +269,8 @@
 	Age time.Duration
 }
 
-// Snapshot returns the endpoints of a service that may receive a request now or help with
-// one, without those for which skip returns true. It returns false for an unknown service.
+// Snapshot returns the endpoints of a service that may receive a request now, without
+// those for which skip returns true. It returns false for an unknown service.
 func (f *Fleet) Snapshot(name string, skip func(lavconfig.Incarnation) bool) (Snapshot, bool) {
 	now := time.Now()
 	f.mu.Lock()
@@ -285,13 +283,12 @@
 	b := Snapshot{Service: svc.Service, Hosts: f.hosts, Age: now.Sub(f.peerReportAt)}
 	limit := f.hostLimit(svc)
 	for _, s := range svc.endpoints {
-		if !f.inService(s) || skip(s.Incarnation()) {
+		if !f.inService(s) || skip(s.Incarnation()) || !s.assigned {
 			continue
 		}
-		rateLimited := s.assigned && s.sent.count(now) >= limit
-		b.RateLimited = b.RateLimited || rateLimited
-		if s.assigned && !rateLimited {
-			b.Primaries++
+		if s.sent.count(now) >= limit {
+			b.RateLimited = true
+			continue
 		}
 		b.Endpoints = append(b.Endpoints, s.Endpoint)
 		load := s.local.Plus(s.peerLoad)
@@ -301,9 +298,6 @@
 			Slots:     s.Slots,
 			Slowdown:  s.slowdown.current(now),
 			InBackoff: s.backoff.active(now),
-			// The limit for cold endpoints counts the requests that they receive. A
-			// helper receives its part from the primary endpoint.
-			HelperOnly: !s.assigned || rateLimited,
 		})
 	}
 	return b, true
--- a/lavplan/admit.go
+++ b/lavplan/admit.go
@@ -48,9 +48,6 @@
 func PlaceCall(candidates []Candidate, draw func() float64) (Plan, bool) {
 	best, lowest := -1, 0.0
 	for i, c := range candidates {
-		if c.HelperOnly {
-			continue
-		}
 		cost := float64(c.Requests)/float64(max(c.Slots, 1)) + draw()*callTieBreakSpread
 		if c.InBackoff {
 			cost += backoffCost
--- a/lavplan/place.go
+++ b/lavplan/place.go
@@ -17,9 +17,6 @@
 	// Slowdown is the endpoint's processing time relative to its normal one, 1 for
 	// normal speed.
 	Slowdown float64
-	// HelperOnly is true if the endpoint may prefill a part of the prompt, but not
-	// receive the request itself.
-	HelperOnly bool
 	// InBackoff is true for a time after the endpoint has failed. Such an endpoint
 	// is chosen only if there is no other.
 	InBackoff bool
@@ -113,28 +110,20 @@
 
 // DrawTieBreakers draws the costs for one prompt in a fleet with the given number of
 // hosts. draw returns random numbers in [0, 1). In a fleet of more than sampleHosts,
-// endpoints outside the sample get unsampledCost as primary endpoints. The sample is
-// drawn from the endpoints that may be primary.
-func DrawTieBreakers(candidates []Candidate, hosts int, draw func() float64) TieBreakers {
-	t := TieBreakers{Prefill: make([]float64, len(candidates)), Primary: make([]float64, len(candidates))}
-	var eligible []float64
-	for i, c := range candidates {
+// endpoints outside the sample get unsampledCost as primary endpoints.
+func DrawTieBreakers(endpoints, hosts int, draw func() float64) TieBreakers {
+	t := TieBreakers{Prefill: make([]float64, endpoints), Primary: make([]float64, endpoints)}
+	for i := range t.Prefill {
 		t.Prefill[i] = draw() * tieBreakSpread
-		if !c.HelperOnly {
-			eligible = append(eligible, t.Prefill[i])
-		}
 	}
 	if hosts <= sampleHosts {
 		return t
 	}
 	fraction := sampleFraction * sampleHosts / float64(hosts)
-	sample := max(int(fraction*float64(len(eligible))), minSample)
-	if sample >= len(eligible) {
-		return t
-	}
-	slices.Sort(eligible)
+	sample := max(int(fraction*float64(endpoints)), minSample)
+	sorted := slices.Sorted(slices.Values(t.Prefill))
 	for i := range t.Primary {
-		if t.Prefill[i] >= eligible[sample] {
+		if sample < endpoints && t.Prefill[i] >= sorted[sample] {
 			t.Primary[i] += unsampledCost
 		}
 	}
@@ -284,7 +273,7 @@
 func choosePrimary(e *lavconfig.Engine, p Prompt, candidates []Candidate, costs, tieBreakers []float64, unsplit bool) (int, float64, bool) {
 	best, lowest := -1, math.Inf(1)
 	for i, c := range candidates {
-		if c.HelperOnly || unsplit && c.KVTokens+p.KVTokens(e) > kvLimit(e) {
+		if unsplit && c.KVTokens+p.KVTokens(e) > kvLimit(e) {
 			continue
 		}
 		cost := costs[i] + tieBreakers[i] + slotCost(p, c) + float64(c.KVTokens)/float64(max(e.MemoryTokens, 1))
--- a/lavrelay/relay.go
+++ b/lavrelay/relay.go
@@ -229,7 +229,7 @@
 	if b.Service.Engine == nil {
 		return lavplan.PlaceCall(b.Candidates, t.relay.draw)
 	}
-	tieBreakers := lavplan.DrawTieBreakers(b.Candidates, b.Hosts, t.relay.draw)
+	tieBreakers := lavplan.DrawTieBreakers(len(b.Candidates), b.Hosts, t.relay.draw)
 	plan, ok := lavplan.Place(b.Service.Engine, t.call.Prompt, b.Candidates, tieBreakers)
 	return plan, ok && (t.arrivals > 0 || lavplan.Admit(t.call.Prompt, plan, b.Candidates))
 }
