Take back a host's own suspicions when it was itself cut off

Cause: a broadcast doesn't reach the hosts between its sender and the sender's first linked successor. A host that had been cut off suspected its successors, so that it didn't dial them until it heard from each again, and they missed its heartbeats for up to 3.8 s. Change: a host that has heard of no peer for a second announces itself and takes the peers that it suspected for alive, at the first contact.

--- a/lavhost/heartbeat.go
+++ b/lavhost/heartbeat.go
@@ -76,6 +76,7 @@
 	now := time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.recordContact(now)
 	known := p.byIncarnation[b.Incarnation]
 	if b.Member != nil {
 		known = p.upsert(*b.Member)
--- a/lavhost/liveness.go
+++ b/lavhost/liveness.go
@@ -33,6 +33,9 @@
 	// at joinInterval or more often, since links are only being opened.
 	joinTime     = 5 * time.Second
 	joinInterval = 1200 * time.Millisecond
+	// isolationTimeout is how long a host must not have heard of any peer to count
+	// itself as cut off.
+	isolationTimeout = time.Second
 	// missedHeartbeats is how many heartbeats a peer of a larger fleet must miss
 	// to count as dead without a suspicion.
 	missedHeartbeats = 3
--- a/lavhost/peers.go
+++ b/lavhost/peers.go
@@ -47,6 +47,8 @@
 type peer struct {
 	liveness
 	member lavmember.Member
+	// suspectedHere is true if this host itself has reported the last suspicion.
+	suspectedHere bool
 	// confirmed is true if the peer's replica is confirmed.
 	confirmed bool
 	// inContact is true if the store has answered the peer recently.
@@ -82,10 +84,10 @@
 	// carried one, and heartbeatsSinceSelf counts the heartbeats since then.
 	lastSentSelf        lavmember.Member
 	heartbeatsSinceSelf int
-	// connected is true once the mesh has connected to a peer.
-	connected bool
-	// joinedAt is when this host last began to join the others.
-	joinedAt time.Time
+	// lastContact is when a peer was last heard of, and joinedAt when this host last
+	// began to join the others.
+	lastContact time.Time
+	joinedAt    time.Time
 	// mustAnnounce is true if a heartbeat is due for another reason than time.
 	mustAnnounce bool
 }
@@ -121,26 +123,40 @@
 	return &lavmember.View{Members: members}
 }
 
-// PeerConnected implements lavmesh.PeerObserver. A host that connects to its first peer, or
-// again to one that it could not reach, announces itself: peers may not have heard of it, or
-// may count it as dead.
+// PeerConnected implements lavmesh.PeerObserver.
 func (p *peers) PeerConnected(m lavmember.Member) {
 	now := time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	known := p.upsert(m)
-	if known == nil {
-		return
-	}
-	if !p.connected || known.unanswered() {
-		p.connected = true
-		p.joinedAt = now
-		p.announce()
+	p.recordContact(now)
+	if known := p.upsert(m); known != nil {
+		known.lastHeartbeat = now
 	}
-	known.lastHeartbeat = now
 	p.rebuildView()
 }
 
+// recordContact records that a peer was heard of. The caller holds the lock.
+func (p *peers) recordContact(now time.Time) {
+	if now.Sub(p.lastContact) > isolationTimeout {
+		p.rejoin(now)
+	}
+	p.lastContact = now
+}
+
+// rejoin announces a host that has been without any peer, after its start or because it was
+// cut off. The peers that it could not reach then are taken for alive again: a broadcast
+// doesn't reach hosts that follow this one on the ring unless it has a link to the next one,
+// and it dials only those that it takes for alive. The caller holds the lock.
+func (p *peers) rejoin(now time.Time) {
+	p.joinedAt = now
+	p.announce()
+	for _, known := range p.byIncarnation {
+		if known.suspectedHere {
+			known.suspectedAt = time.Time{}
+		}
+	}
+}
+
 // upsert stores the member entry of a peer and returns the peer, or nil for
 // this host itself. The caller holds the lock.
 func (p *peers) upsert(m lavmember.Member) *peer {
--- a/lavhost/suspicion.go
+++ b/lavhost/suspicion.go
@@ -20,6 +20,9 @@
 	p.mu.Lock()
 	known := p.byIncarnation[incarnation]
 	suspected := known != nil && !isSmallFleet(len(p.view.Members)) && known.suspect(time.Now())
+	if suspected {
+		known.suspectedHere = true
+	}
 	p.mu.Unlock()
 	if !suspected {
 		return
@@ -44,8 +47,8 @@
 	}
 	p.mu.Lock()
 	known := p.byIncarnation[s.Incarnation]
-	if known != nil {
-		known.suspect(time.Now())
+	if known != nil && known.suspect(time.Now()) {
+		known.suspectedHere = false
 	}
 	p.mu.Unlock()
 	p.mesh.Send(s.Incarnation, lavmesh.TopicSuspicion, s)
