Forward events that were read before a connection closed

Cause: since the silence limit was set between reading an event and forwarding it. If the connection was closed meanwhile, setting it failed; the event counted as received for the resume at another endpoint and was never forwarded. Fix: events are forwarded first.

--- a/lavrelay/stream.go
+++ b/lavrelay/stream.go
@@ -40,14 +40,16 @@
 		if n > 0 {
 			before := t.events.count
 			whole := t.events.feed(buffer[:n])
+			// An event that was read counts for a resume, so that it is forwarded whatever
+			// happens to the connection.
+			if t.forwardBytes(response, whole) != nil {
+				return OutcomeLeft, nil
+			}
 			if t.events.count > before {
 				if err := progress.recordEvent(); err != nil {
 					return 0, err
 				}
 			}
-			if t.forwardBytes(response, whole) != nil {
-				return OutcomeLeft, nil
-			}
 		}
 		if t.events.endless() {
 			return 0, errors.Mark(errStreamEndless, lavconn.ErrResponseLost)
