--- a/lavhost/ingress.go
+++ b/lavhost/ingress.go
@@ -163,11 +163,12 @@
 			PauseObjective:  route.PauseObjective,
 			Retried:         isRetry,
 		},
-		LastEvent:     request.LastEvent,
-		FramedByClose: !r.ProtoAtLeast(1, 1),
-		Deadline:      deadline(arrived, request.Timeout, route.Timeout),
-		Arrived:       arrived,
-		Fingerprint:   fingerprint(r, request, body),
+		LastEvent:      request.LastEvent,
+		FramedByClose:  !r.ProtoAtLeast(1, 1),
+		Deadline:       deadline(arrived, request.Timeout, route.Timeout),
+		Arrived:        arrived,
+		PromptSegments: request.PromptSegments,
+		Fingerprint:    fingerprint(r, request, body),
 	}
 }
 
--- a/lavhost/poisontracker.go
+++ b/lavhost/poisontracker.go
@@ -9,6 +9,7 @@
 	"lavenderrack.example/lavenderrack/lavconn"
 	"lavenderrack.example/lavenderrack/lavengine"
 	"lavenderrack.example/lavenderrack/lavmesh"
+	"lavenderrack.example/lavenderrack/lavrelay"
 	"lavenderrack.example/lavenderrack/lavretry"
 
 	"github.com/phuslu/log"
@@ -40,8 +41,8 @@
 
 // ConnectionLost implements lavrelay.Suspects. A response may be lost for many reasons.
 // The endpoint counts as crashed only if a new connection to it fails.
-func (s *poisonTracker) ConnectionLost(fingerprint uint64, e lavconfig.Endpoint) {
-	s.probes.Go(func() { s.probe(fingerprint, e) })
+func (s *poisonTracker) ConnectionLost(c *lavrelay.Call, e lavconfig.Endpoint) {
+	s.probes.Go(func() { s.probe(c, e) })
 }
 
 // Wait returns once no connection attempt is in progress. Each one has a
@@ -49,13 +50,13 @@
 func (s *poisonTracker) Wait() { s.probes.Wait() }
 
 // probe tries to connect to an endpoint and reports a crash if that fails.
-func (s *poisonTracker) probe(fingerprint uint64, e lavconfig.Endpoint) {
+func (s *poisonTracker) probe(c *lavrelay.Call, e lavconfig.Endpoint) {
 	time.Sleep(probeDelay)
 	ctx, cancel := context.WithTimeout(context.Background(), lavconn.DialTimeout)
 	defer cancel()
 	connection, err := s.dial(ctx, e.Address)
 	if err != nil {
-		s.reportDeath(fingerprint, e)
+		s.reportDeath(c, e)
 		return
 	}
 	// The connection serves only to show that the endpoint is running.
@@ -64,15 +65,16 @@
 
 // reportDeath records that an endpoint crashed with a request, and informs the
 // peers.
-func (s *poisonTracker) reportDeath(fingerprint uint64, e lavconfig.Endpoint) {
+func (s *poisonTracker) reportDeath(c *lavrelay.Call, e lavconfig.Endpoint) {
 	d := lavretry.Death{
-		Fingerprint: fingerprint,
+		Fingerprint: c.Fingerprint,
 		Endpoint:    e.ID,
 		Incarnation: lavengine.Incarnation(e.StartedAt.UTC().Format(time.RFC3339Nano)),
 		At:          time.Now(),
 	}
 	count := s.recordDeath(d)
-	s.logger.Warn().Uint64("Fingerprint", fingerprint).Str("Endpoint", e.ID).Int("Deaths", count).Msg("endpoint died with a request")
+	s.logger.Warn().Str("Request", c.ID).Strs("Segments", c.PromptSegments).Uint64("Fingerprint", c.Fingerprint).
+		Str("Endpoint", e.ID).Int("Deaths", count).Msg("endpoint died with a request")
 	if _, err := s.mesh.Broadcast(lavmesh.TopicQuarantine, d); err != nil {
 		s.logger.Warn().Err(err).Msg("failed to send endpoint crash to peers")
 	}
--- a/lavrelay/attempt.go
+++ b/lavrelay/attempt.go
@@ -105,7 +105,7 @@
 		return lavfleet.VerdictNone
 	}
 	if errors.Is(err, lavconn.ErrResponseLost) && !lavconn.TimedOut(err) {
-		t.relay.suspects.ConnectionLost(t.call.Fingerprint, c.endpoint)
+		t.relay.suspects.ConnectionLost(t.call, c.endpoint)
 	}
 	return lavfleet.VerdictBad
 }
--- a/lavrelay/call.go
+++ b/lavrelay/call.go
@@ -30,6 +30,9 @@
 	Deadline time.Time
 	// Arrived is when the request arrived.
 	Arrived time.Time
+	// PromptSegments are the IDs of the segments of the prompt, in order. Other prompts may
+	// share all but the last one.
+	PromptSegments []string
 	// Fingerprint is equal for repetitions of the same request.
 	Fingerprint uint64
 	// Version is the version of the desired state under which the request was admitted.
--- a/lavrelay/relay.go
+++ b/lavrelay/relay.go
@@ -32,7 +32,7 @@
 	Blocked(fingerprint uint64) bool
 	// ConnectionLost records that the connection to an endpoint broke while the endpoint
 	// had the request.
-	ConnectionLost(fingerprint uint64, e lavconfig.Endpoint)
+	ConnectionLost(c *Call, e lavconfig.Endpoint)
 }
 
 // Relay forwards calls to endpoints. It is safe for concurrent use.
--- a/lavrelay/relay_test.go
+++ b/lavrelay/relay_test.go
@@ -33,7 +33,7 @@
 
 func (n *stubGuard) Await(context.Context) error { return nil }
 func (n *stubGuard) Blocked(uint64) bool         { return n.blocked }
-func (n *stubGuard) ConnectionLost(uint64, lavconfig.Endpoint) {
+func (n *stubGuard) ConnectionLost(*Call, lavconfig.Endpoint) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.lost++
--- a/lavrelay/trace.go
+++ b/lavrelay/trace.go
@@ -74,6 +74,7 @@
 		Str("Service", t.call.Service).
 		Uint64("Version", uint64(t.call.Version)).
 		Int("PromptTokens", t.call.Prompt.Tokens).
+		Strs("Segments", t.call.PromptSegments).
 		Strs("Endpoints", t.trace.endpoints).
 		Int("Helpers", t.trace.helpers).
 		Dur("Reading", t.trace.prefill).
