Show that requests which share a prompt segment crash endpoint after endpoint

Whole hosts in virtual time take sound prompts that share the other segments, and the prompts that crash endpoints, no two alike.

--- /dev/null
+++ b/lavhost/crashload_test.go
@@ -0,0 +1,200 @@
+package lavhost
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"lavenderrack.example/lavenderrack/lavassert"
+	"lavenderrack.example/lavenderrack/platform/standin"
+)
+
+// Size of a crash load, and rates of its requests.
+const (
+	crashLoadHosts      = 6
+	crashLoadEndpoints  = 16
+	crashLoadSegments   = 60
+	soundRequestsPerS   = 40
+	crashingPerS        = 8
+	callerRetryDelay    = 200 * time.Millisecond
+	crashLoadSettle     = 3 * time.Second
+	soundPhase          = 10 * time.Second
+	crashingPhase       = 20 * time.Second
+	contactTime         = 3 * time.Second
+	maxCrashesUnstopped = 5
+	maxLateArrivals     = 3
+)
+
+// soundAttempt is the first attempt of a request that crashes no endpoint.
+type soundAttempt struct {
+	at    time.Time
+	begun bool
+}
+
+// crashLoad sends prompts to all hosts of an emulated fleet, and sees what becomes of them.
+type crashLoad struct {
+	fleet     *emulatedFleet
+	endpoints *standin.CrashingEndpoints
+	random    *rand.Rand
+	callers   sync.WaitGroup
+
+	mu       sync.Mutex
+	attempts []soundAttempt
+	// requests counts the requests, for their IDs.
+	requests int
+}
+
+// startCrashLoad starts a fleet before endpoints that no segment crashes yet. It must be called
+// in a synctest bubble. The caller must call end.
+func startCrashLoad(t *testing.T, seed uint64) *crashLoad {
+	t.Helper()
+	store, endpoints := standin.NewStore(), standin.NewEndpoints()
+	l := &crashLoad{
+		endpoints: standin.NewCrashingEndpoints(endpoints, store, "s"),
+		random:    rand.New(rand.NewPCG(seed, 1)),
+	}
+	for i := range crashLoadEndpoints {
+		l.endpoints.Start(netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 100, 0, byte(1 + i)}), 80), emulatedDomain(i))
+	}
+	l.fleet = startFleetWith(t, crashLoadHosts, store, endpoints.Dial)
+	time.Sleep(crashLoadSettle)
+	return l
+}
+
+// end waits for all callers and ends the fleet.
+func (l *crashLoad) end(t *testing.T) {
+	t.Helper()
+	l.endpoints.SetSegments()
+	l.callers.Wait()
+	// Crashed endpoints start again before the bubble ends.
+	time.Sleep(contactTime + contactTime)
+	for _, h := range l.fleet.hosts {
+		h.pool.Sweep(func(netip.AddrPort) bool { return false })
+	}
+	l.fleet.end(t)
+	time.Sleep(contactTime)
+}
+
+// segment returns a random segment that sound prompts share. Some are far more frequent than
+// others.
+func (l *crashLoad) segment(kind string) string {
+	u := l.random.Float64()
+	return fmt.Sprint(kind, int(u*u*crashLoadSegments))
+}
+
+// play sends sound prompts for a time, and with them prompts that have one of the given
+// segments in place of their first or second one.
+func (l *crashLoad) play(span time.Duration, crashing ...crashingPrompt) {
+	end := time.Now().Add(span)
+	rate := soundRequestsPerS + crashingPerS*float64(len(crashing))
+	for time.Now().Before(end) {
+		time.Sleep(time.Duration(l.random.ExpFloat64() / rate * float64(time.Second)))
+		first, second := l.segment("a"), l.segment("b")
+		i := int(l.random.Float64()*rate-soundRequestsPerS) / crashingPerS
+		sound := l.random.Float64()*rate < soundRequestsPerS || len(crashing) == 0
+		if !sound {
+			c := crashing[max(i, 0)%len(crashing)]
+			if c.first {
+				first = c.segment
+			} else {
+				second = c.segment
+			}
+		}
+		l.callers.Go(func() { l.call(sound, first, second) })
+	}
+}
+
+// crashingPrompt says where prompts have a segment that crashes endpoints.
+type crashingPrompt struct {
+	segment string
+	first   bool
+}
+
+// call sends a prompt, and once more if it fails.
+func (l *crashLoad) call(sound bool, first, second string) {
+	l.mu.Lock()
+	l.requests++
+	own := fmt.Sprint("own", l.requests)
+	l.mu.Unlock()
+	at := time.Now()
+	done, begun := l.send(own, 0, first, second)
+	if sound {
+		l.mu.Lock()
+		l.attempts = append(l.attempts, soundAttempt{at: at, begun: begun})
+		l.mu.Unlock()
+	}
+	if done {
+		return
+	}
+	time.Sleep(callerRetryDelay)
+	l.send(own, 1, first, second)
+}
+
+// send sends a prompt to a random host, and reports whether it was answered and whether the
+// answer has begun.
+func (l *crashLoad) send(own string, attempt int, first, second string) (done, begun bool) {
+	l.mu.Lock()
+	h := l.fleet.hosts[l.random.IntN(len(l.fleet.hosts))]
+	l.mu.Unlock()
+	out := httptest.NewRecorder()
+	defer func() {
+		// The host aborts a stream that it can't complete.
+		if recover() != nil {
+			done, begun = false, out.Body.Len() > 0
+		}
+	}()
+	h.ingress.ServeHTTP(out, standin.NewPrompt(fmt.Sprint(own, "-", attempt), first, second, own))
+	done = out.Code == http.StatusOK
+	return done, done && out.Body.Len() > 0
+}
+
+// begunShare returns the share of sound requests, sent from one time on until another, that
+// began at the first attempt.
+func (l *crashLoad) begunShare(from, until time.Time) float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	begun, all := 0, 0
+	for _, a := range l.attempts {
+		if a.at.Before(from) || !a.at.Before(until) {
+			continue
+		}
+		all++
+		if a.begun {
+			begun++
+		}
+	}
+	if all == 0 {
+		return math.NaN()
+	}
+	return float64(begun) / float64(all)
+}
+
+// assertStopped checks that a number of segments stopped crashing endpoints soon after each
+// had crashed maxCrashesUnstopped, and that sound requests are served again.
+func (l *crashLoad) assertStopped(t *testing.T, segments int, began time.Time) {
+	t.Helper()
+	crashes := l.endpoints.Crashes()
+	lavassert.AtLeast(t, "crashes", len(crashes), 1)
+	if len(crashes) == 0 {
+		return
+	}
+	fifth := crashes[min(segments*maxCrashesUnstopped, len(crashes))-1]
+	late := 0
+	for _, at := range l.endpoints.Arrivals() {
+		if at.After(fifth.Add(contactTime)) {
+			late++
+		}
+	}
+	t.Logf("%d crashes, the last %v after the first", len(crashes), crashes[len(crashes)-1].Sub(crashes[0]))
+	lavassert.AtMost(t, "arrivals of requests that crash endpoints", late, segments*maxLateArrivals)
+	before := l.begunShare(began.Add(-soundPhase), began)
+	after := l.begunShare(fifth.Add(2*contactTime), began.Add(crashingPhase))
+	t.Logf("share begun at the first attempt: %.3f before, %.3f after", before, after)
+	lavassert.AtLeast(t, "share of sound requests begun", after, before/2)
+}
--- a/lavhost/fleetemulator_test.go
+++ b/lavhost/fleetemulator_test.go
@@ -7,11 +7,13 @@
 	"net/http"
 	"net/netip"
 	"os"
+	"sync"
 	"testing"
 	"time"
 
 	"lavenderrack.example/lavenderrack/lavassert"
 	"lavenderrack.example/lavenderrack/lavconfig"
+	"lavenderrack.example/lavenderrack/lavconn"
 	"lavenderrack.example/lavenderrack/lavfakenet"
 	"lavenderrack.example/lavenderrack/platform"
 	"lavenderrack.example/lavenderrack/platform/standin"
@@ -21,7 +23,26 @@
 )
 
 // datagramNetwork delivers datagrams between the hosts of an emulated fleet.
-type datagramNetwork map[netip.AddrPort]*datagramConn
+type datagramNetwork struct {
+	mu      sync.Mutex
+	sockets map[netip.AddrPort]*datagramConn
+}
+
+// listen opens a socket at an address, in place of one that was there before.
+func (n *datagramNetwork) listen(at netip.AddrPort) *datagramConn {
+	c := &datagramConn{network: n, address: at, incoming: make(chan datagram, datagramQueue), closed: make(chan struct{})}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.sockets[at] = c
+	return c
+}
+
+// socket returns the socket at an address, or nil.
+func (n *datagramNetwork) socket(at netip.AddrPort) *datagramConn {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.sockets[at]
+}
 
 // datagramQueue is how many datagrams wait at a socket before further ones are lost.
 const datagramQueue = 1024
@@ -36,7 +57,7 @@
 // implemented.
 type datagramConn struct {
 	net.PacketConn
-	network  datagramNetwork
+	network  *datagramNetwork
 	address  netip.AddrPort
 	incoming chan datagram
 	closed   chan struct{}
@@ -54,7 +75,7 @@
 
 // WriteTo implements net.PacketConn.
 func (c *datagramConn) WriteTo(data []byte, to net.Addr) (int, error) {
-	if peer := c.network[to.(*net.UDPAddr).AddrPort()]; peer != nil {
+	if peer := c.network.socket(to.(*net.UDPAddr).AddrPort()); peer != nil {
 		select {
 		case peer.incoming <- datagram{data: data, from: net.UDPAddrFromAddrPort(c.address)}:
 		default:
@@ -80,52 +101,94 @@
 
 var emulatedStore = netip.MustParseAddrPort("10.200.0.1:80")
 
-// emulatedFleet is a fleet of hosts that run in virtual time, with a store, but without
-// requests.
+// emulatedFleet is a fleet of hosts that run in virtual time, with a store.
 type emulatedFleet struct {
 	store   *standin.Store
 	network *lavfakenet.Network
-	hosts   []*Host
+	// dial opens connections to endpoints.
+	dial  lavconn.Dialer
+	hosts []*Host
+	// hostEnded is closed when the host with the same index has ended.
+	hostEnded []chan struct{}
 	// stopHost stops each host by itself.
 	stopHost []context.CancelFunc
 	// scope counts the messages of all hosts.
 	scope tally.TestScope
 	ended chan error
+	// starts is the number of host starts, each of which sends to ended.
+	starts int
+	// start starts the host with the index.
+	start func(i int) *Host
 	stop  context.CancelFunc
 }
 
-// startFleet starts a fleet of n hosts in five failure domains before the given number of
-// endpoints. It must be called in a synctest bubble. The caller must call end.
+// emulatedDomains is the number of failure domains of an emulated fleet.
+const emulatedDomains = 5
+
+// noEndpoint is the dialer of a fleet whose endpoints receive no requests.
+func noEndpoint(context.Context, netip.AddrPort) (net.Conn, error) {
+	return nil, errors.New("no endpoint listens in an emulated fleet")
+}
+
+// startFleet starts a fleet of n hosts before the given number of endpoints, which only the
+// store knows. It must be called in a synctest bubble. The caller must call end.
 func startFleet(t *testing.T, n, endpoints int) *emulatedFleet {
 	t.Helper()
-	const domains = 5
+	store := standin.NewStore()
+	for i := range endpoints {
+		at := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 100, byte(i / 250), byte(1 + i%250)}), 80)
+		store.PutEntry(standin.EndpointEntry(fmt.Sprint("e", i), 0, "s", at.String(), emulatedDomain(i), "ready"))
+	}
+	return startFleetWith(t, n, store, noEndpoint)
+}
+
+func emulatedDomain(i int) string { return fmt.Sprint("zone-", i%emulatedDomains) }
+
+// startFleetWith starts a fleet of n hosts with a store and a dialer for the endpoints that it
+// lists. It must be called in a synctest bubble. The caller must call end.
+func startFleetWith(t *testing.T, n int, store *standin.Store, dial lavconn.Dialer) *emulatedFleet {
+	t.Helper()
 	network := lavfakenet.New(1, func(_, _ lavfakenet.HostInfo) lavfakenet.Link {
 		return lavfakenet.Link{Delay: 3 * time.Millisecond}
 	})
 	ctx, cancel := context.WithCancel(t.Context())
-	f := &emulatedFleet{store: standin.NewStore(), network: network, scope: tally.NewTestScope("", nil), ended: make(chan error, n), stop: cancel}
+	f := &emulatedFleet{store: store, network: network, dial: dial, scope: tally.NewTestScope("", nil), ended: make(chan error, maxHostStarts), stop: cancel}
 	f.store.PutEntry(standin.ConfigEntry(0, 1, "s"))
-	for i := range endpoints {
-		at := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 100, byte(i / 250), byte(1 + i%250)}), 80)
-		f.store.PutEntry(standin.EndpointEntry(fmt.Sprint("e", i), 0, "s", at.String(), fmt.Sprint("zone-", i%domains), "ready"))
-	}
 	f.serveStore(ctx, t, network.Host(lavfakenet.HostInfo{Host: "store"}))
-	datagrams := make(datagramNetwork)
+	datagrams := &datagramNetwork{sockets: make(map[netip.AddrPort]*datagramConn)}
 	var settings []platform.Settings
 	for i := range n {
-		s := emulatedSettings(i, fmt.Sprint("zone-", i%domains))
-		settings = append(settings, s)
-		datagrams[s.Datagrams] = &datagramConn{
-			network: datagrams, address: s.Datagrams, incoming: make(chan datagram, datagramQueue), closed: make(chan struct{}),
-		}
+		settings = append(settings, emulatedSettings(i, emulatedDomain(i)))
 	}
-	for _, s := range settings {
+	f.start = func(i int) *Host {
+		s := settings[i]
 		s.Seeds = []netip.AddrPort{settings[0].Peers, settings[1].Peers, settings[2].Peers}
-		f.startHost(ctx, s, network.Host(lavfakenet.HostInfo{Host: s.Host, FailureDomain: s.FailureDomain}), datagrams[s.Datagrams])
+		return f.startHost(ctx, i, s, network.Host(lavfakenet.HostInfo{Host: s.Host, FailureDomain: s.FailureDomain}), datagrams.listen(s.Datagrams))
+	}
+	f.hosts, f.stopHost, f.hostEnded = make([]*Host, n), make([]context.CancelFunc, n), make([]chan struct{}, n)
+	for i := range n {
+		f.hosts[i] = f.start(i)
 	}
 	return f
 }
 
+// maxHostStarts bounds how often hosts of an emulated fleet may start.
+const maxHostStarts = 1024
+
+// restart stops some hosts, waits until all have ended, and starts them again without what they
+// had in memory.
+func (f *emulatedFleet) restart(hosts ...int) {
+	for _, i := range hosts {
+		f.stopHost[i]()
+	}
+	for _, i := range hosts {
+		<-f.hostEnded[i]
+	}
+	for _, i := range hosts {
+		f.hosts[i] = f.start(i)
+	}
+}
+
 func emulatedSettings(i int, domain string) platform.Settings {
 	address := netip.AddrFrom4([4]byte{10, 1, byte(i / 250), byte(1 + i%250)})
 	return platform.Settings{
@@ -151,15 +214,13 @@
 	context.AfterFunc(ctx, func() { _ = server.Close() })
 }
 
-func (f *emulatedFleet) startHost(ctx context.Context, s platform.Settings, network *lavfakenet.Host, datagrams net.PacketConn) {
+func (f *emulatedFleet) startHost(ctx context.Context, i int, s platform.Settings, network *lavfakenet.Host, datagrams net.PacketConn) *Host {
 	transport := &http.Transport{DialContext: network.DialContext, MaxIdleConnsPerHost: 2}
 	context.AfterFunc(ctx, transport.CloseIdleConnections)
 	client := &http.Client{Transport: transport}
 	h := New(s, Dependencies{
 		Listen: func(at netip.AddrPort) (net.Listener, error) { return network.Listen("tcp", at.String()) },
-		Dial: func(context.Context, netip.AddrPort) (net.Conn, error) {
-			return nil, errors.New("no endpoint listens in an emulated fleet")
-		},
+		Dial:         f.dial,
 		PeerClient:   client,
 		Store:        platform.NewStore(client, s.Store),
 		SuspendClock: func() time.Duration { return 0 },
@@ -170,9 +231,14 @@
 		Datagrams:    datagrams,
 	})
 	running, stop := context.WithCancel(ctx)
-	f.hosts = append(f.hosts, h)
-	f.stopHost = append(f.stopHost, stop)
-	go func() { f.ended <- h.Serve(running) }()
+	ended := make(chan struct{})
+	f.stopHost[i], f.hostEnded[i] = stop, ended
+	f.starts++
+	go func() {
+		f.ended <- h.Serve(running)
+		close(ended)
+	}()
+	return h
 }
 
 // isolate cuts a host off from all other hosts, without ending its connections, or ends that.
@@ -212,7 +278,7 @@
 func (f *emulatedFleet) end(t *testing.T) {
 	t.Helper()
 	f.stop()
-	for range f.hosts {
+	for range f.starts {
 		lavassert.NoError(t, <-f.ended)
 	}
 }
