Attribute crashes of endpoints to what the lost requests have in common

Cause: the host knew a crashing request only by the hash of all of it, so that each new request with the same segment began without a record and crashed two endpoints. The class is evidence that is kept under an identity which the fault doesn't have: crashes counted for what never came again, and nothing was ever cleared by a completed request.

lavcrash describes a request by its traits (the whole, and each segment), counts crashes for each trait since a request with it last completed, and blocks the segment that explains more crashes than any other, so that sound requests which share its other segments go on. A host whose reports were wrong, since it alone could not reach an endpoint, retracts them. Blocks of segments are entries of the store, so that hosts which start or were cut off know them.

--- /dev/null
+++ b/lavcrash/attribution_test.go
@@ -0,0 +1,174 @@
+package lavcrash_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"lavenderrack.example/lavenderrack/lavassert"
+	"lavenderrack.example/lavenderrack/lavconfig"
+	"lavenderrack.example/lavenderrack/lavcrash"
+)
+
+// history records crashes and completions one second apart.
+type history struct {
+	*lavcrash.Attribution
+	now     time.Time
+	crashed int
+}
+
+func newHistory() *history {
+	return &history{Attribution: lavcrash.NewAttribution(), now: time.Unix(0, 0)}
+}
+
+// traits returns the traits of a request with a number.
+func traits(number int, segments ...string) []lavcrash.Trait {
+	return lavcrash.NewTraits("s", uint64(number), segments)
+}
+
+// crash records the crash of a new endpoint, which lost the requests.
+func (h *history) crash(lost ...[]lavcrash.Trait) lavconfig.Incarnation {
+	h.now = h.now.Add(time.Second)
+	h.crashed++
+	life := lavconfig.Incarnation{ID: fmt.Sprint("e", h.crashed)}
+	for _, traits := range lost {
+		h.RecordCrash(h.now, lavcrash.Report{Endpoint: life, Traits: traits})
+	}
+	return life
+}
+
+// complete records that a request has completed.
+func (h *history) complete(traits []lavcrash.Trait) {
+	h.now = h.now.Add(time.Second)
+	h.RecordCompletion(h.now, traits)
+}
+
+// assertBlocked checks what is blocked of a request.
+func (h *history) assertBlocked(t *testing.T, label string, traits []lavcrash.Trait, want string) {
+	t.Helper()
+	blocked, ok := h.Blocked(h.now, traits)
+	got := ""
+	if ok {
+		got = blocked.Kind.String() + " " + blocked.ID
+	}
+	lavassert.Equal(t, label, got, want)
+}
+
+func TestRequestIsBlocked(t *testing.T) {
+	h := newHistory()
+	same := traits(1, "a", "b")
+	h.crash(same, traits(2, "a", "c"))
+	h.assertBlocked(t, "after one crash", same, "")
+	h.crash(same, traits(3, "d"))
+	h.assertBlocked(t, "after two crashes", same, "Request 1")
+	h.assertBlocked(t, "another request with the same segments", traits(4, "a", "b"), "")
+	h.now = h.now.Add(lavcrash.RequestBlockDuration)
+	h.assertBlocked(t, "after the end of the block", same, "")
+}
+
+func TestSegmentIsBlocked(t *testing.T) {
+	h := newHistory()
+	for n := range lavcrash.SegmentCrashes {
+		h.assertBlocked(t, "before enough crashes", traits(100, "bad"), "")
+		h.crash(traits(n, fmt.Sprint("a", n), "bad", fmt.Sprint("own", n)), traits(10+n, fmt.Sprint("b", n)))
+	}
+	h.assertBlocked(t, "another request with the segment", traits(100, "x", "bad"), "Segment s-bad")
+	h.assertBlocked(t, "a request that shares another segment", traits(101, "a1", "b1"), "")
+	h.assertBlocked(t, "a request that was lost once", traits(10, "b0"), "")
+	h.now = h.now.Add(lavcrash.SegmentBlockDuration)
+	h.assertBlocked(t, "after the end of the block", traits(100, "x", "bad"), "")
+}
+
+func TestSoundSegmentsAreNotBlocked(t *testing.T) {
+	t.Run("CompletedBetweenCrashes", func(t *testing.T) {
+		h := newHistory()
+		for n := range 2 * lavcrash.SegmentCrashes {
+			h.crash(traits(n, "a"))
+			h.complete(traits(100+n, "a"))
+		}
+		h.assertBlocked(t, "segment", traits(200, "a"), "")
+	})
+	t.Run("CompletedLater", func(t *testing.T) {
+		h := newHistory()
+		for n := range lavcrash.SegmentCrashes {
+			h.crash(traits(n, "a"))
+		}
+		h.assertBlocked(t, "segment", traits(200, "a"), "Segment s-a")
+		h.complete(traits(100, "a"))
+		h.assertBlocked(t, "segment of a completed request", traits(200, "a"), "")
+	})
+	t.Run("BesideOneThatExplainsMore", func(t *testing.T) {
+		h := newHistory()
+		for n := range lavcrash.SegmentCrashes {
+			h.crash(traits(n, "bad"), traits(10+n, "a"))
+		}
+		h.assertBlocked(t, "either of two rivals", traits(200, "a", "bad"), "")
+		h.crash(traits(20, "bad"))
+		h.assertBlocked(t, "the one that explains more", traits(200, "bad"), "Segment s-bad")
+		h.assertBlocked(t, "the other one", traits(200, "a"), "")
+	})
+	t.Run("CrashesWithACommonCause", func(t *testing.T) {
+		h := newHistory()
+		for n := range 2 * lavcrash.SegmentCrashes {
+			h.crash(traits(n, "a"))
+			h.now = h.now.Add(-time.Second)
+		}
+		h.assertBlocked(t, "segment", traits(200, "a"), "")
+	})
+	t.Run("EndpointIsAlive", func(t *testing.T) {
+		h := newHistory()
+		var lives []lavconfig.Incarnation
+		for n := range lavcrash.SegmentCrashes {
+			lives = append(lives, h.crash(traits(n, "a")))
+		}
+		lavassert.True(t, "crash is known", h.RecordAlive(h.now, lives[0]))
+		h.assertBlocked(t, "segment", traits(200, "a"), "")
+		lavassert.True(t, "crash is not known any more", !h.RecordAlive(h.now, lives[0]))
+	})
+}
+
+func TestSegmentsThatAlwaysComeTogether(t *testing.T) {
+	h := newHistory()
+	const many = 8
+	for n := range many {
+		h.crash(traits(n, "a", "b"))
+	}
+	h.assertBlocked(t, "request with both", traits(200, "a", "b"), "Segment s-a")
+}
+
+func TestReportedBlocks(t *testing.T) {
+	h := newHistory()
+	bad := lavcrash.Trait{Kind: lavcrash.TraitSegment, ID: "s-bad"}
+	h.AddBlock(h.now, lavcrash.Block{Trait: bad, Until: h.now.Add(time.Hour)})
+	h.assertBlocked(t, "reported block", traits(1, "bad"), "Segment s-bad")
+	lavassert.Equal(t, "blocks", len(h.Blocks(h.now)), 1)
+	h.complete(traits(2, "bad"))
+	h.assertBlocked(t, "after a completion", traits(1, "bad"), "")
+	h.AddBlock(h.now, lavcrash.Block{Trait: bad, Until: h.now})
+	h.assertBlocked(t, "block that has ended", traits(1, "bad"), "")
+}
+
+func TestOldCrashesKeepTheirBlocks(t *testing.T) {
+	h := newHistory()
+	for n := range lavcrash.SegmentCrashes {
+		h.crash(traits(n, "bad"))
+	}
+	const many = 1000
+	for n := range many {
+		h.crash(traits(1000+n, fmt.Sprint("other", n)))
+	}
+	h.assertBlocked(t, "segment of crashes that are not kept any more", traits(5000, "bad"), "Segment s-bad")
+}
+
+func TestNewTraits(t *testing.T) {
+	long := make([]string, 1000)
+	for i := range long {
+		long[i] = "x/" + fmt.Sprint(i)
+	}
+	all := lavcrash.NewTraits("s", 1, long)
+	lavassert.AtMost(t, "traits of a request with many segments", len(all), 100)
+	for _, trait := range all {
+		lavassert.AtMost(t, "length of an ID", len(trait.ID), 64)
+	}
+	lavassert.True(t, "services have their own segments", lavcrash.NewTraits("s", 1, []string{"a"})[1] != lavcrash.NewTraits("t", 1, []string{"a"})[1])
+}
--- a/lavhost/clusterentries.go
+++ b/lavhost/clusterentries.go
@@ -21,6 +21,10 @@
 		s.mergeEvacuation(domain, !e.Removed)
 		return true
 	}
+	if t, ok := traitOfKey(e.Key); ok {
+		s.mergeBlock(t, e, removalsFinal)
+		return true
+	}
 	if e.Key == platform.KeyConfig && !e.Removed {
 		s.mergeConfig(e)
 		return true
--- a/lavhost/clusterstate.go
+++ b/lavhost/clusterstate.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"lavenderrack.example/lavenderrack/lavconfig"
+	"lavenderrack.example/lavenderrack/lavcrash"
 	"lavenderrack.example/lavenderrack/lavfleet"
 	"lavenderrack.example/lavenderrack/lavmember"
 	"lavenderrack.example/lavenderrack/lavmirror"
@@ -31,7 +32,9 @@
 	mirror *lavmirror.Mirror
 	fleet  *lavfleet.Fleet
 	logger *log.Logger
-	index  atomic.Pointer[lavconfig.Index]
+	// mergeBlock applies the entry of a block.
+	mergeBlock func(t lavcrash.Trait, e lavmirror.Entry, removalsFinal bool)
+	index      atomic.Pointer[lavconfig.Index]
 
 	mu sync.Mutex
 	// config is the entry of the desired state in force.
@@ -57,6 +60,7 @@
 func newClusterState(mirror *lavmirror.Mirror, fleet *lavfleet.Fleet, logger *log.Logger) *clusterState {
 	return &clusterState{
 		mirror:          mirror,
+		mergeBlock:      func(lavcrash.Trait, lavmirror.Entry, bool) {},
 		fleet:           fleet,
 		logger:          logger,
 		endpoints:       make(map[string]lavconfig.Endpoint),
--- a/lavhost/crash_test.go
+++ b/lavhost/crash_test.go
@@ -55,6 +55,51 @@
 	}
 }
 
+// TestBlockedSegmentStaysBlocked guards against hosts that learn of a block late or forget it.
+func TestBlockedSegmentStaysBlocked(t *testing.T) {
+	var copied *standin.StoreCopy
+	tests := []struct {
+		name string
+		// before and after disturb the fleet before the segment is blocked, and once it is.
+		before, after func(f *emulatedFleet)
+	}{
+		{"HostsRestart", nil, func(f *emulatedFleet) { f.restart(0, 3) }},
+		{"AllHostsRestart", nil, func(f *emulatedFleet) { f.restart(0, 1, 2, 3, 4, 5) }},
+		{"StoreFromOlderCopy", nil, func(f *emulatedFleet) {
+			f.store.Restore(copied)
+			time.Sleep(2 * contactTime)
+			f.restart(0, 1, 2, 3, 4, 5)
+		}},
+		{"HostRestartsWhileStoreIsAway", nil, func(f *emulatedFleet) {
+			f.store.SetMode(standin.ModeBusy)
+			f.restart(0)
+		}},
+		{"HostCutOffFromPeers", func(f *emulatedFleet) { f.isolate(2, true) }, nil},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				l := startCrashLoad(t, 3)
+				copied = l.fleet.store.Copy()
+				if test.before != nil {
+					test.before(l.fleet)
+				}
+				l.endpoints.SetSegments("bad")
+				l.play(soundPhase, crashingPrompt{segment: "bad"})
+				lavassert.AtLeast(t, "crashes before the block", len(l.endpoints.Crashes()), 1)
+				blocked := time.Now()
+				if test.after != nil {
+					test.after(l.fleet)
+				}
+				l.endpoints.Announce()
+				l.play(soundPhase, crashingPrompt{segment: "bad"})
+				lavassert.Equal(t, "arrivals after the block", l.countArrivals(blocked), 0)
+				l.end(t)
+			})
+		})
+	}
+}
+
 // TestSoundRequestsSurviveOtherCrashes guards against sound requests that are refused because
 // they ran at endpoints that crashed for another reason.
 func TestSoundRequestsSurviveOtherCrashes(t *testing.T) {
--- a/lavhost/crashload_test.go
+++ b/lavhost/crashload_test.go
@@ -74,9 +74,7 @@
 	l.callers.Wait()
 	// Crashed endpoints start again before the bubble ends.
 	time.Sleep(contactTime + contactTime)
-	for _, h := range l.fleet.hosts {
-		h.pool.Sweep(func(netip.AddrPort) bool { return false })
-	}
+	l.endpoints.Close()
 	l.fleet.end(t)
 	time.Sleep(contactTime)
 }
@@ -175,6 +173,17 @@
 	return float64(begun) / float64(all)
 }
 
+// countArrivals returns how many requests that crash endpoints have arrived since a time.
+func (l *crashLoad) countArrivals(since time.Time) int {
+	count := 0
+	for _, at := range l.endpoints.Arrivals() {
+		if at.After(since) {
+			count++
+		}
+	}
+	return count
+}
+
 // assertStopped checks that a number of segments stopped crashing endpoints soon after each
 // had crashed maxCrashesUnstopped, and that sound requests are served again.
 func (l *crashLoad) assertStopped(t *testing.T, segments int, began time.Time) {
@@ -185,14 +194,8 @@
 		return
 	}
 	fifth := crashes[min(segments*maxCrashesUnstopped, len(crashes))-1]
-	late := 0
-	for _, at := range l.endpoints.Arrivals() {
-		if at.After(fifth.Add(contactTime)) {
-			late++
-		}
-	}
 	t.Logf("%d crashes, the last %v after the first", len(crashes), crashes[len(crashes)-1].Sub(crashes[0]))
-	lavassert.AtMost(t, "arrivals of requests that crash endpoints", late, segments*maxLateArrivals)
+	lavassert.AtMost(t, "arrivals of requests that crash endpoints", l.countArrivals(fifth.Add(contactTime)), segments*maxLateArrivals)
 	before := l.begunShare(began.Add(-soundPhase), began)
 	after := l.begunShare(fifth.Add(2*contactTime), began.Add(crashingPhase))
 	t.Logf("share begun at the first attempt: %.3f before, %.3f after", before, after)
--- a/lavhost/fleetemulator_test.go
+++ b/lavhost/fleetemulator_test.go
@@ -219,7 +219,7 @@
 	context.AfterFunc(ctx, transport.CloseIdleConnections)
 	client := &http.Client{Transport: transport}
 	h := New(s, Dependencies{
-		Listen: func(at netip.AddrPort) (net.Listener, error) { return network.Listen("tcp", at.String()) },
+		Listen:       func(at netip.AddrPort) (net.Listener, error) { return network.Listen("tcp", at.String()) },
 		Dial:         f.dial,
 		PeerClient:   client,
 		Store:        platform.NewStore(client, s.Store),
--- a/lavhost/host.go
+++ b/lavhost/host.go
@@ -18,7 +18,6 @@
 	"lavenderrack.example/lavenderrack/lavmirror"
 	"lavenderrack.example/lavenderrack/lavpause"
 	"lavenderrack.example/lavenderrack/lavrelay"
-	"lavenderrack.example/lavenderrack/lavretry"
 	"lavenderrack.example/lavenderrack/platform"
 
 	"github.com/cockroachdb/errors"
@@ -34,6 +33,7 @@
 type Store interface {
 	ChangeSource
 	LeaseStore
+	BlockStore
 }
 
 // Dependencies are the external resources that a Host uses.
@@ -73,7 +73,7 @@
 	mesh         *lavmesh.Mesh
 	pool         *lavconn.Pool
 	fleet        *lavfleet.Fleet
-	poison       *poisonTracker
+	crashes      *crashTracker
 	ingress      *ingress
 	directory    *directory
 	drain        *drain
@@ -139,9 +139,11 @@
 }
 
 func (h *Host) initIngress() {
-	h.poison = &poisonTracker{mesh: h.mesh, dial: h.deps.Dial, logger: h.deps.Logger, guard: lavretry.NewGuard()}
-	h.mesh.Handle(lavmesh.TopicQuarantine, h.poison.handleDeath)
-	relay := lavrelay.New(h.pool, h.fleet, h.confirmation, h.poison, h.deps.Logger, h.deps.Scope, rand.Float64)
+	h.crashes = newCrashTracker(h.mesh, h.deps.Dial, h.deps.Logger, h.deps.Scope)
+	h.mesh.Handle(lavmesh.TopicCrash, h.crashes.handleMessage)
+	h.state.mergeBlock = h.crashes.mergeStored
+	h.peers.crashes = h.crashes
+	relay := lavrelay.New(h.pool, h.fleet, h.confirmation, h.crashes, h.deps.Logger, h.deps.Scope, rand.Float64)
 	relay.LimitReservationLease(h.settings.Bounds.MaxReservationLease)
 	h.ingress = &ingress{
 		state:        h.state,
@@ -174,6 +176,7 @@
 	supervisor.Add(aggregator{h.loadExchange})
 	supervisor.Add(h.mesh)
 	supervisor.Add(&membership{leases: h.deps.Store, peers: h.peers, logger: h.deps.Logger})
+	supervisor.Add(&blockPublisher{store: h.deps.Store, blocks: h.crashes, logger: h.deps.Logger})
 	supervisor.Add(&reloader{
 		loadSettings: h.deps.LoadSettings,
 		signal:       h.deps.ReloadSignal,
@@ -209,7 +212,7 @@
 	h.drain.wait(ctx, h.ingress)
 	h.closeCallers(ctx)
 	h.ingress.relay.Wait()
-	h.poison.Wait()
+	h.crashes.Wait()
 	h.deps.Logger.Info().Int64("Running", h.ingress.running.Load()).Msg("drained")
 }
 
--- a/lavhost/ingress.go
+++ b/lavhost/ingress.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"lavenderrack.example/lavenderrack/lavconfig"
+	"lavenderrack.example/lavenderrack/lavcrash"
 	"lavenderrack.example/lavenderrack/lavplan"
 	"lavenderrack.example/lavenderrack/lavrelay"
 	"lavenderrack.example/lavenderrack/platform"
@@ -146,6 +147,7 @@
 }
 
 func newCall(r *http.Request, request platform.Request, route *lavconfig.Route, customer string, body []byte, arrived time.Time, isRetry bool) *lavrelay.Call {
+	service := route.PickService(rand.Float64())
 	return &lavrelay.Call{
 		ID:       request.ID,
 		Method:   r.Method,
@@ -154,7 +156,7 @@
 		Header:   r.Header,
 		Body:     body,
 		Route:    route,
-		Service:  route.PickService(rand.Float64()),
+		Service:  service,
 		Customer: customer,
 		Prompt: lavplan.Prompt{
 			Tokens:          request.PromptTokens,
@@ -168,7 +170,7 @@
 		Deadline:       deadline(arrived, request.Timeout, route.Timeout),
 		Arrived:        arrived,
 		PromptSegments: request.PromptSegments,
-		Fingerprint:    fingerprint(r, request, body),
+		Traits:         lavcrash.NewTraits(service, fingerprint(r, request, body), request.PromptSegments),
 	}
 }
 
--- a/lavhost/peers.go
+++ b/lavhost/peers.go
@@ -65,6 +65,7 @@
 // them. It provides the mesh with the view of the members.
 type peers struct {
 	mesh         *lavmesh.Mesh
+	crashes      *crashTracker
 	fleet        *lavfleet.Fleet
 	state        *clusterState
 	confirmation *confirmation
--- a/lavhost/statesync.go
+++ b/lavhost/statesync.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"lavenderrack.example/lavenderrack/lavcrash"
 	"lavenderrack.example/lavenderrack/lavmember"
 	"lavenderrack.example/lavenderrack/lavmesh"
 	"lavenderrack.example/lavenderrack/lavmirror"
@@ -26,6 +27,8 @@
 	Settled bool   `cbor:"3,keyasint"`
 	// Members are the members that the sender knows, if they were requested.
 	Members []lavmember.Member `cbor:"4,keyasint,omitempty"`
+	// Blocks are what the sender has blocked, whether or not the store has it.
+	Blocks []lavcrash.Block `cbor:"5,keyasint,omitempty"`
 }
 
 // handleStateRequest answers a peer's request for this host's entries.
@@ -36,7 +39,7 @@
 	}
 	_, confirmed := p.confirmation.check()
 	packed, err := lavmirror.Compress(p.state.RelevantEntries())
-	response := stateResponse{Packed: packed, Good: confirmed, Settled: p.anyContinuousContact()}
+	response := stateResponse{Packed: packed, Good: confirmed, Settled: p.anyContinuousContact(), Blocks: p.crashes.currentBlocks()}
 	if request.Members {
 		response.Members = p.View().Members
 	}
@@ -66,6 +69,7 @@
 		return
 	}
 	p.state.apply(entries, response.Settled || p.anyContinuousContact())
+	p.crashes.addBlocks(response.Blocks...)
 	p.mu.Lock()
 	if source := p.byIncarnation[from]; source != nil {
 		source.differsSince = time.Time{}
--- a/lavmesh/message.go
+++ b/lavmesh/message.go
@@ -46,6 +46,9 @@
 	TopicEntries
 	// TopicSuspicion broadcasts that a host can't be reached.
 	TopicSuspicion
+	// TopicCrash broadcasts crashes of endpoints, and what shows that a request
+	// or an endpoint was wrongly suspected of one.
+	TopicCrash
 	topicEnd
 )
 
--- a/lavmesh/topic_string.go
+++ b/lavmesh/topic_string.go
@@ -25,12 +25,13 @@
 	_ = x[TopicNews-14]
 	_ = x[TopicEntries-15]
 	_ = x[TopicSuspicion-16]
-	_ = x[topicEnd-17]
+	_ = x[TopicCrash-17]
+	_ = x[topicEnd-18]
 }
 
-const _Topic_name = "topicNonePingReleaseCreditLoadQuarantineLedgerBurnReleasePullMemberViewOwnerCacheBeatNewsEntriesSuspiciontopicEnd"
+const _Topic_name = "topicNonePingReleaseCreditLoadQuarantineLedgerBurnReleasePullMemberViewOwnerCacheBeatNewsEntriesSuspicionCrashtopicEnd"
 
-var _Topic_index = [...]uint8{0, 9, 13, 20, 26, 30, 40, 46, 50, 61, 67, 71, 76, 81, 85, 89, 96, 105, 113}
+var _Topic_index = [...]uint8{0, 9, 13, 20, 26, 30, 40, 46, 50, 61, 67, 71, 76, 81, 85, 89, 96, 105, 110, 118}
 
 func (i Topic) String() string {
 	idx := int(i) - 0
--- a/lavrelay/attempt.go
+++ b/lavrelay/attempt.go
@@ -29,6 +29,7 @@
 	defer reservations.release()
 	t.stopWatch = t.watchFirstEvent(ctx, c)
 	defer t.stopWatch()
+	sentAt := time.Now()
 	response, err := t.relay.pool.Do(ctx, c.endpoint.Address, t.request(c, reservations), t.matchesCall)
 	if err != nil {
 		verdict = t.recordFailure(ctx, c, err)
@@ -43,6 +44,8 @@
 		return again
 	}
 	t.runs++
+	// Only the expected incarnation runs a request, so that this shows it alive.
+	t.relay.suspects.Answered(c.endpoint, sentAt)
 	outcome, err := t.forward(ctx, c, response, head)
 	if err != nil {
 		verdict = t.recordFailure(ctx, c, err)
--- a/lavrelay/call.go
+++ b/lavrelay/call.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"lavenderrack.example/lavenderrack/lavconfig"
+	"lavenderrack.example/lavenderrack/lavcrash"
 	"lavenderrack.example/lavenderrack/lavplan"
 )
 
@@ -33,8 +34,8 @@
 	// PromptSegments are the IDs of the segments of the prompt, in order. Other prompts may
 	// share all but the last one.
 	PromptSegments []string
-	// Fingerprint is equal for repetitions of the same request.
-	Fingerprint uint64
+	// Traits describe what the request may have in common with others that crash endpoints.
+	Traits []lavcrash.Trait
 	// Version is the version of the desired state under which the request was admitted.
 	Version lavconfig.Version
 }
--- a/lavrelay/relay.go
+++ b/lavrelay/relay.go
@@ -28,11 +28,15 @@
 
 // Suspects tracks requests that are suspected of crashing the endpoints that run them.
 type Suspects interface {
-	// Blocked reports whether a request must not run again.
-	Blocked(fingerprint uint64) bool
+	// Blocked reports whether a request must not run, and what of it is blocked.
+	Blocked(c *Call) (trait string, blocked bool)
 	// ConnectionLost records that the connection to an endpoint broke while the endpoint
 	// had the request.
 	ConnectionLost(c *Call, e lavconfig.Endpoint)
+	// Answered records that an endpoint ran a request that was sent at a time.
+	Answered(e lavconfig.Endpoint, sentAt time.Time)
+	// Completed records that an endpoint has answered a request completely.
+	Completed(c *Call)
 }
 
 // Relay forwards calls to endpoints. It is safe for concurrent use.
@@ -92,6 +96,9 @@
 	t := &task{relay: r, call: c, out: w, tried: make(map[lavconfig.Incarnation]bool)}
 	t.events.lastID = c.LastEvent
 	outcome := t.run(ctx)
+	if outcome == OutcomeDone {
+		r.suspects.Completed(c)
+	}
 	r.metrics.record(c, t, outcome)
 	t.log(outcome)
 	t.finish(outcome)
@@ -123,13 +130,18 @@
 		if err := t.relay.readiness.Await(ctx); err != nil {
 			return t.giveUp(ctx, OutcomeUnready)
 		}
-		if t.relay.suspects.Blocked(t.call.Fingerprint) {
+		if t.blocked() {
 			return t.giveUp(ctx, OutcomeSuspect)
 		}
 		chosen, outcome := t.choose(ctx)
 		if chosen == nil {
 			return t.giveUp(ctx, outcome)
 		}
+		// The choice may have waited.
+		if t.blocked() {
+			chosen.run.End(lavfleet.VerdictNone)
+			return t.giveUp(ctx, OutcomeSuspect)
+		}
 		if t.arrivals > 0 && !t.relay.fleet.SpendRetry(t.call.Service) {
 			chosen.run.End(lavfleet.VerdictNone)
 			return t.giveUp(ctx, OutcomeBudget)
@@ -144,6 +156,13 @@
 	}
 }
 
+// blocked reports whether the request must not run, since it crashes endpoints.
+func (t *task) blocked() bool {
+	trait, blocked := t.relay.suspects.Blocked(t.call)
+	t.trace.blocked = trait
+	return blocked
+}
+
 // giveUp returns the outcome of a call that ends without a response: the given one, unless
 // the caller has disconnected or the deadline has passed.
 func (t *task) giveUp(ctx context.Context, outcome Outcome) Outcome {
--- a/lavrelay/relay_test.go
+++ b/lavrelay/relay_test.go
@@ -31,8 +31,10 @@
 	blocked bool
 }
 
-func (n *stubGuard) Await(context.Context) error { return nil }
-func (n *stubGuard) Blocked(uint64) bool         { return n.blocked }
+func (n *stubGuard) Await(context.Context) error            { return nil }
+func (n *stubGuard) Blocked(*Call) (string, bool)           { return "", n.blocked }
+func (n *stubGuard) Answered(lavconfig.Endpoint, time.Time) {}
+func (n *stubGuard) Completed(*Call)                        {}
 func (n *stubGuard) ConnectionLost(*Call, lavconfig.Endpoint) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/lavrelay/trace.go
+++ b/lavrelay/trace.go
@@ -23,8 +23,10 @@
 	backlog, expected     time.Duration
 	loadAge               time.Duration
 	// waited is how long the last attempt waited before it was sent.
-	waited     time.Duration
-	failure    string
+	waited  time.Duration
+	failure string
+	// blocked is what of the request is blocked, empty if nothing is.
+	blocked    string
 	firstEvent time.Duration
 	lastEvent  time.Time
 	longestGap time.Duration
@@ -95,6 +97,7 @@
 		Dur("Took", time.Since(t.call.Arrived)).
 		Dur("RetryAfter", t.retryAfter).
 		Str("Failure", t.trace.failure).
+		Str("Blocked", t.trace.blocked).
 		Msg("request")
 }
 
