Refuse prompts whose shared prefix crashes engines at the serve face too

Runs and deaths carry the traits of their request: its model and each prefix that lavrequest hashes already. Suspects asks a lavcrash.Attribution beside the Guard, whose rules stay. Hosts tell each other of deaths as before, and of completed runs whose traits were suspected; deaths in the store bring the traits to hosts that start later.

--- a/lavcrash/attribution.go
+++ b/lavcrash/attribution.go
@@ -147,14 +147,16 @@
 	a.reported[b.Trait] = b.Until
 }
 
-// Blocked returns the first of some traits that is blocked.
-func (a *Attribution) Blocked(now time.Time, traits []Trait) (Trait, bool) {
+// Blocked returns the block of the first of some traits that is blocked.
+func (a *Attribution) Blocked(now time.Time, traits []Trait) (Block, bool) {
 	for _, t := range traits {
-		if now.Before(a.own[t]) || now.Before(a.reported[t]) {
-			return t, true
+		for _, until := range []time.Time{a.own[t], a.reported[t]} {
+			if now.Before(until) {
+				return Block{Trait: t, Until: until}, true
+			}
 		}
 	}
-	return Trait{}, false
+	return Block{}, false
 }
 
 // Blocks returns all blocks, ordered by trait.
--- a/lavcrash/attribution_test.go
+++ b/lavcrash/attribution_test.go
@@ -49,7 +49,7 @@
 	blocked, ok := h.Blocked(h.now, traits)
 	got := ""
 	if ok {
-		got = blocked.Kind.String() + " " + blocked.ID
+		got = blocked.Trait.Kind.String() + " " + blocked.Trait.ID
 	}
 	lavassert.Equal(t, label, got, want)
 }
--- a/lavcrash/simulate_test.go
+++ b/lavcrash/simulate_test.go
@@ -141,8 +141,8 @@
 
 // send runs a request at a random endpoint.
 func (s *simulation) send(p *prompt) {
-	if t, blocked := s.attribution.Blocked(s.clock(), p.traits()); blocked {
-		if !p.crashes && t.Kind == lavcrash.TraitSegment {
+	if b, blocked := s.attribution.Blocked(s.clock(), p.traits()); blocked {
+		if !p.crashes && b.Trait.Kind == lavcrash.TraitSegment {
 			s.refusedSound++
 		}
 		return
--- a/lavgang/run.go
+++ b/lavgang/run.go
@@ -136,6 +136,7 @@
 	r.suspectRun = lavretry.Run{
 		ID:          fmt.Sprint(r.job.Request.ID, "-", r.lostParts),
 		Fingerprint: r.job.Request.Fingerprint,
+		Traits:      lavretry.TraitsOf(r.job.Request),
 		Endpoint:    fmt.Sprint("gang of ", r.job.Request.ID.Host()),
 		Until:       time.Now().Add(suspectRunTimeout),
 	}
--- a/lavgang/runner.go
+++ b/lavgang/runner.go
@@ -121,7 +121,7 @@
 // or that is expected to miss its deadline.
 func (g *Runner) admit(r *promptRun) error {
 	request, snapshot := r.job.Request, g.parts.Endpoints.Snapshot()
-	if verdict := g.parts.Suspects.Check(request.Fingerprint); verdict.Action == lavretry.ActionRefuse {
+	if verdict := g.parts.Suspects.Check(request); verdict.Action == lavretry.ActionRefuse {
 		return quarantineRefusal(verdict)
 	}
 	if !fitsWhenEmpty(snapshot, request, r.segments, acceptsWork) {
--- a/lavhost/crashtracker.go
+++ b/lavhost/crashtracker.go
@@ -77,11 +77,11 @@
 func (s *crashTracker) Blocked(c *lavrelay.Call) (string, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	t, blocked := s.attribution.Blocked(time.Now(), c.Traits)
+	b, blocked := s.attribution.Blocked(time.Now(), c.Traits)
 	if !blocked {
 		return "", false
 	}
-	return t.Kind.String() + " " + t.ID, true
+	return b.Trait.Kind.String() + " " + b.Trait.ID, true
 }
 
 // ConnectionLost implements lavrelay.Suspects. A response may be lost for many reasons.
--- a/lavnode/callspeers.go
+++ b/lavnode/callspeers.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"lavenderrack.example/lavenderrack/lavcrash"
 	"lavenderrack.example/lavenderrack/lavledger"
 	"lavenderrack.example/lavenderrack/lavmember"
 	"lavenderrack.example/lavenderrack/lavmesh"
@@ -139,6 +140,8 @@
 	Finished bool
 	Death    *lavretry.Death
 	Known    []lavretry.FingerprintRecord `cbor:",omitempty"`
+	// Completed are traits of a run that has finished.
+	Completed []lavcrash.Trait `cbor:",omitempty"`
 }
 
 func (c *calls) handleQuarantine(_ context.Context, _ string, body []byte) (any, error) {
@@ -154,6 +157,7 @@
 		c.suspects.EndLocal(*request.End, request.Finished)
 	}
 	c.suspects.Merge(request.Known)
+	c.suspects.RecordReportedCompletion(request.Completed)
 	if request.Begin != nil {
 		verdict = c.suspects.BeginLocal(*request.Begin)
 	}
@@ -212,6 +216,12 @@
 	_, _ = p.node.mesh.Broadcast(lavmesh.TopicQuarantine, quarantineMessage{Death: &d})
 }
 
+// BroadcastCompletion implements lavretry.Peers.
+func (p suspectPeers) BroadcastCompletion(traits []lavcrash.Trait) {
+	// A peer that misses this message learns of the next completion.
+	_, _ = p.node.mesh.Broadcast(lavmesh.TopicQuarantine, quarantineMessage{Completed: traits})
+}
+
 // SendRecords implements lavretry.Peers.
 func (p suspectPeers) SendRecords(peer string, known []lavretry.FingerprintRecord) {
 	p.outbox.enqueue(peerMessage{peer: peer, topic: lavmesh.TopicQuarantine, body: quarantineMessage{Known: known}})
--- a/lavretry/guard.go
+++ b/lavretry/guard.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"lavenderrack.example/lavenderrack/lavcrash"
 	"lavenderrack.example/lavenderrack/lavengine"
 )
 
@@ -52,7 +53,9 @@
 	ID string
 	// Fingerprint is the same for equal requests of any customer.
 	Fingerprint uint64
-	Endpoint    string
+	// Traits describe what the request has in common with others.
+	Traits   []lavcrash.Trait
+	Endpoint string
 	// Until is the time by which the run has certainly ended.
 	Until time.Time
 }
@@ -60,6 +63,8 @@
 // Death is the death of an endpoint while a request was in flight there.
 type Death struct {
 	Fingerprint uint64
+	// Traits are those of the run.
+	Traits      []lavcrash.Trait `json:",omitempty"`
 	Endpoint    string
 	Incarnation lavengine.Incarnation
 	At          time.Time
--- a/lavretry/suspects.go
+++ b/lavretry/suspects.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"lavenderrack.example/lavenderrack/lavcrash"
+	"lavenderrack.example/lavenderrack/lavrequest"
 	"lavenderrack.example/lavenderrack/lavstep"
 	"lavenderrack.example/lavenderrack/lavstore"
 )
@@ -38,6 +40,8 @@
 	ReportDeath(peer string, r Run, d Death)
 	// BroadcastDeath notifies all peers of a death.
 	BroadcastDeath(d Death)
+	// BroadcastCompletion notifies all peers that a run with some traits has finished.
+	BroadcastCompletion(traits []lavcrash.Trait)
 	// SendRecords hands this host's records of fingerprints over to a peer.
 	SendRecords(peer string, records []FingerprintRecord)
 }
@@ -60,6 +64,9 @@
 // BroadcastDeath implements Peers.
 func (NoPeers) BroadcastDeath(Death) {}
 
+// BroadcastCompletion implements Peers.
+func (NoPeers) BroadcastCompletion([]lavcrash.Trait) {}
+
 // SendRecords implements Peers.
 func (NoPeers) SendRecords(string, []FingerprintRecord) {}
 
@@ -69,10 +76,12 @@
 	peers Peers
 	store lavstore.Store
 
-	mu         sync.Mutex
-	guard      *Guard
-	unwritten  []Death
-	unresolved []unresolvedRun
+	mu    sync.Mutex
+	guard *Guard
+	// attribution finds out what different requests share that kills endpoints.
+	attribution *lavcrash.Attribution
+	unwritten   []Death
+	unresolved  []unresolvedRun
 	// askedByRun maps the ID of each run that this host has begun to the peers that
 	// were asked about it.
 	askedByRun map[string]askedPeers
@@ -80,14 +89,18 @@
 
 // NewSuspects returns the Suspects of a host.
 func NewSuspects(store lavstore.Store, peers Peers) *Suspects {
-	return &Suspects{peers: peers, store: store, guard: NewGuard(), askedByRun: make(map[string]askedPeers)}
+	return &Suspects{peers: peers, store: store, guard: NewGuard(), attribution: lavcrash.NewAttribution(), askedByRun: make(map[string]askedPeers)}
 }
 
-// Check returns this host's own verdict on a fingerprint, without asking peers.
-func (s *Suspects) Check(fingerprint uint64) Verdict {
+// Check returns this host's own verdict on a request, without asking peers.
+func (s *Suspects) Check(r *lavrequest.Request) Verdict {
+	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.guard.Check(time.Now(), fingerprint)
+	if v := s.checkTraits(now, TraitsOf(r)); v.Action == ActionRefuse {
+		return v
+	}
+	return s.guard.Check(now, r.Fingerprint)
 }
 
 // Begin decides whether a run may begin. It asks this host's own guard first, and
@@ -124,15 +137,22 @@
 // BeginLocal asks this host's own guard whether a run of this host or of a peer
 // may begin.
 func (s *Suspects) BeginLocal(r Run) Verdict {
+	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.guard.Begin(time.Now(), r)
+	if v := s.checkTraits(now, r.Traits); v.Action == ActionRefuse {
+		return v
+	}
+	return s.guard.Begin(now, r)
 }
 
 // End ends a run that was allowed to begin, and notifies the peers that know of
 // it.
 func (s *Suspects) End(r Run, finished bool) {
 	s.EndLocal(r, finished)
+	if finished {
+		s.recordCompletion(r)
+	}
 	for _, peer := range s.peersToNotify(r) {
 		s.peers.End(peer, r, finished)
 	}
@@ -147,7 +167,9 @@
 
 // RecordDeath ends a run whose endpoint died, and notifies all hosts of the death.
 func (s *Suspects) RecordDeath(ctx context.Context, r Run, d Death) {
+	d.Traits = r.Traits
 	s.mu.Lock()
+	s.recordCrash(d)
 	d.Count = s.guard.RecordDeath(time.Now(), d)
 	if len(s.unwritten) < maxUnwrittenDeaths {
 		s.unwritten = append(s.unwritten, d)
@@ -168,6 +190,7 @@
 func (s *Suspects) RecordReportedDeath(d Death) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.recordCrash(d)
 	s.guard.RecordReportedDeath(time.Now(), d)
 }
 
@@ -242,5 +265,8 @@
 func (s *Suspects) restoreDeath(d Death) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if time.Since(d.At) < lavcrash.SegmentBlockDuration {
+		s.recordCrash(d)
+	}
 	s.guard.RestoreDeath(time.Now(), d)
 }
--- a/lavretry/suspects_test.go
+++ b/lavretry/suspects_test.go
@@ -11,8 +11,10 @@
 	"time"
 
 	"lavenderrack.example/lavenderrack/lavassert"
+	"lavenderrack.example/lavenderrack/lavcrash"
 	"lavenderrack.example/lavenderrack/lavengine"
 	"lavenderrack.example/lavenderrack/lavfake"
+	"lavenderrack.example/lavenderrack/lavrequest"
 	"lavenderrack.example/lavenderrack/lavretry"
 
 	"github.com/cockroachdb/errors"
@@ -91,6 +93,14 @@
 	}
 }
 
+func (p *peer) BroadcastCompletion(traits []lavcrash.Trait) {
+	for i, h := range p.mesh.hosts {
+		if i != p.self && !p.mesh.dropsBroadcasts && !p.mesh.partitioned {
+			h.RecordReportedCompletion(traits)
+		}
+	}
+}
+
 func (p *peer) SendRecords(peer string, records []lavretry.FingerprintRecord) {
 	if !p.mesh.partitioned {
 		p.mesh.host(peer).Merge(records)
@@ -336,6 +346,39 @@
 		serve(first, time.Second)
 		later := lavretry.NewSuspects(store, lavretry.NoPeers{})
 		serve(later, time.Second)
-		lavassert.Equal(t, "action", later.Check(1).Action, lavretry.ActionRefuse)
+		lavassert.Equal(t, "action", later.Check(&lavrequest.Request{Fingerprint: 1}).Action, lavretry.ActionRefuse)
+	})
+}
+
+func TestSharedPrefix(t *testing.T) {
+	const prompts, crashesUnstopped, lateArrivals = 30, 5, 3
+	bad := func(n int) *lavrequest.Request {
+		return &lavrequest.Request{Fingerprint: uint64(1000 + n), Model: "m", Prefixes: []lavrequest.PrefixHash{1, 2}}
+	}
+	sound := &lavrequest.Request{Fingerprint: 1, Model: "m", Prefixes: []lavrequest.PrefixHash{1, 3}}
+	runOf := func(r *lavrequest.Request, n int) lavretry.Run {
+		return lavretry.Run{
+			ID: fmt.Sprint(r.Fingerprint, "-", n), Fingerprint: r.Fingerprint, Traits: lavretry.TraitsOf(r),
+			Endpoint: fmt.Sprint("e", n), Until: time.Now().Add(time.Minute),
+		}
+	}
+	synctest.Test(t, func(t *testing.T) {
+		m := newMesh(mesh{replicas: fixedReplicas}, hosts)
+		died := 0
+		for n := range prompts {
+			time.Sleep(time.Second)
+			host := m.hosts[n%hosts]
+			done := runOf(sound, n)
+			lavassert.Equal(t, "sound request with the shorter prefix", host.Begin(t.Context(), done).Action, lavretry.ActionGo)
+			host.End(done, true)
+			r := runOf(bad(n), n)
+			if host.Begin(t.Context(), r).Action == lavretry.ActionRefuse {
+				continue
+			}
+			died++
+			host.RecordDeath(t.Context(), r, lavretry.Death{Fingerprint: r.Fingerprint, Endpoint: r.Endpoint, Incarnation: "1", At: time.Now()})
+		}
+		lavassert.AtMost(t, "endpoints that died", died, crashesUnstopped+lateArrivals)
+		lavassert.Equal(t, "verdict on another request with the prefix", m.hosts[0].Check(bad(prompts)).Action, lavretry.ActionRefuse)
 	})
 }
--- a/lavstream/relay.go
+++ b/lavstream/relay.go
@@ -139,7 +139,7 @@
 // there, if the verdict on the request's fingerprint allows the run.
 func (j *jobRun) tryEndpoint(ctx context.Context) error {
 	request := j.job.Request
-	verdict := j.deps.Suspects.Check(request.Fingerprint)
+	verdict := j.deps.Suspects.Check(request)
 	if verdict.Action == lavretry.ActionRefuse {
 		return quarantineRefusal(verdict)
 	}
@@ -152,6 +152,7 @@
 	run := lavretry.Run{
 		ID:          fmt.Sprint(request.ID, "-", j.attempts.Len()),
 		Fingerprint: request.Fingerprint,
+		Traits:      lavretry.TraitsOf(request),
 		Endpoint:    assigned.Endpoint.Name,
 		Until:       time.Now().Add(maxRunDuration),
 	}
