Leave endpoints alone that say they leave, or ask for no requests

What an endpoint states in a response is kept for its incarnation in lavfleet, beside its entry and the evacuations, as a Reason; requests name the reasons for which endpoints were passed over. Peers hear of a leaving endpoint at once; Retry-After binds the host that was answered. If all endpoints are left out, callers wait if half of their objective allows it, and are else refused at once with the time until the first one may be asked.

--- /dev/null
+++ b/lavfleet/availability.go
@@ -0,0 +1,150 @@
+package lavfleet
+
+import (
+	"fmt"
+	"maps"
+	"strings"
+	"time"
+
+	"lavenderrack.example/lavenderrack/lavconfig"
+)
+
+//go:generate stringer -type=Reason -trimprefix=Reason -output=reason_string.go
+
+// Reason is why this host sends no new requests to an endpoint.
+type Reason int
+
+// The reasons. Of several, the first one is named.
+const (
+	// ReasonNone means that the endpoint may receive requests.
+	ReasonNone Reason = iota
+	// ReasonDraining means that the endpoint's entry says that it is draining.
+	ReasonDraining
+	// ReasonEvacuated means that the failure domain is out of service.
+	ReasonEvacuated
+	// ReasonLeaving means that the endpoint has stated in a response that it will leave.
+	ReasonLeaving
+	// ReasonRetryAfter means that the endpoint has asked this host to send nothing for a
+	// time that isn't over.
+	ReasonRetryAfter
+	// ReasonTried means that the request has been at the endpoint.
+	ReasonTried
+	// ReasonUnassigned means that this host has no share of the requests that the endpoint
+	// accepts while it is cold.
+	ReasonUnassigned
+	// ReasonRateLimited means that this host has used up its share of these requests.
+	ReasonRateLimited
+	reasonEnd
+)
+
+// Exclusions counts the endpoints that may not receive a request, by reason.
+type Exclusions [reasonEnd]int
+
+// String returns the reasons that occurred with their counts, such as "Leaving 2, Tried 1".
+func (e Exclusions) String() string {
+	var parts []string
+	for reason, n := range e {
+		if n > 0 {
+			parts = append(parts, fmt.Sprint(Reason(reason), " ", n))
+		}
+	}
+	return strings.Join(parts, ", ")
+}
+
+// Bounds of what is kept of endpoints' statements.
+const (
+	// maxRetryAfter bounds the time for which an endpoint may ask for no requests.
+	maxRetryAfter = 24 * time.Hour
+	// statementTTL is how long the statement of an endpoint that the store doesn't list is
+	// kept. Its entry may be missing for a time.
+	statementTTL = 10 * time.Minute
+)
+
+// statement is what an endpoint has stated about itself in its responses. It holds for one
+// incarnation, also while the endpoint is not listed.
+type statement struct {
+	at time.Time
+	// leaving is true once the endpoint has stated that it will leave. Nothing but its end
+	// revokes that.
+	leaving bool
+	// aloneUntil is until when this host must send it nothing.
+	aloneUntil time.Time
+}
+
+// RecordLeaving records that an endpoint has stated that it will leave. It returns false if
+// that was known.
+func (f *Fleet) RecordLeaving(life lavconfig.Incarnation) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s := f.statements[life]
+	known := s.leaving
+	s.leaving = true
+	f.state(life, s)
+	return !known
+}
+
+// RecordRetryAfter records that an endpoint has asked this host to send nothing for a time.
+// A later request doesn't shorten the time of an earlier one.
+func (f *Fleet) RecordRetryAfter(life lavconfig.Incarnation, d time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s := f.statements[life]
+	if until := time.Now().Add(min(d, maxRetryAfter)); until.After(s.aloneUntil) {
+		s.aloneUntil = until
+	}
+	f.state(life, s)
+}
+
+// state stores a statement, and drops those of endpoints that are gone. The caller holds the
+// lock.
+func (f *Fleet) state(life lavconfig.Incarnation, s statement) {
+	now := time.Now()
+	s.at = now
+	f.statements[life] = s
+	maps.DeleteFunc(f.statements, func(other lavconfig.Incarnation, s statement) bool {
+		return f.endpoints[other] == nil && now.Sub(s.at) > statementTTL && now.After(s.aloneUntil)
+	})
+}
+
+// exclusion returns why an endpoint may receive no new request of any kind, or ReasonNone. The
+// caller holds the lock.
+func (f *Fleet) exclusion(s *endpointState, now time.Time) Reason {
+	stated := f.statements[s.Incarnation()]
+	switch {
+	case s.Leaving:
+		return ReasonDraining
+	case f.outOfService[s.FailureDomain]:
+		return ReasonEvacuated
+	case stated.leaving:
+		return ReasonLeaving
+	case now.Before(stated.aloneUntil):
+		return ReasonRetryAfter
+	default:
+		return ReasonNone
+	}
+}
+
+// exclude counts an endpoint that was left out. It wants no requests until aloneUntil, if that
+// is the reason.
+func (b *Snapshot) exclude(reason Reason, aloneUntil time.Time) {
+	b.Excluded[reason]++
+	if reason == ReasonRetryAfter && (b.NextAvailable.IsZero() || aloneUntil.Before(b.NextAvailable)) {
+		b.NextAvailable = aloneUntil
+	}
+}
+
+// UntilAvailable returns the time until the first endpoint that wants no requests may receive
+// one again, zero if there is none.
+func (b *Snapshot) UntilAvailable() time.Duration {
+	if b.NextAvailable.IsZero() {
+		return 0
+	}
+	return time.Until(b.NextAvailable)
+}
+
+// AvailableBy reports whether an endpoint that was left out for a limited time may be available
+// before a time: one that wants no requests until then, or one of which this host has used up
+// its share, which is for a short time.
+func (b *Snapshot) AvailableBy(at time.Time) bool {
+	return b.Excluded[ReasonRateLimited] > 0 || !b.NextAvailable.IsZero() && b.NextAvailable.Before(at)
+}
--- a/lavfleet/fleet.go
+++ b/lavfleet/fleet.go
@@ -35,6 +35,7 @@
 	endpoints    map[lavconfig.Incarnation]*endpointState
 	services     map[string]*service
 	outOfService map[string]bool
+	statements   map[lavconfig.Incarnation]statement
 	// peerReport is the load of all other hosts, received at peerReportAt.
 	peerReport   Report
 	peerReportAt time.Time
@@ -85,6 +86,7 @@
 		endpoints:    make(map[lavconfig.Incarnation]*endpointState),
 		services:     make(map[string]*service),
 		outOfService: make(map[string]bool),
+		statements:   make(map[lavconfig.Incarnation]statement),
 		hosts:        1,
 		startedAt:    time.Now(),
 		changed:      make(chan struct{}, 1),
@@ -231,11 +233,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	s := f.endpoints[life]
-	return s != nil && f.inService(s)
-}
-
-func (f *Fleet) inService(s *endpointState) bool {
-	return !s.Leaving && !f.outOfService[s.FailureDomain]
+	return s != nil && f.exclusion(s, time.Now()) == ReasonNone
 }
 
 // CountRequest counts a request to a service, which increases its retry budget.
@@ -260,9 +258,11 @@
 	Service    lavconfig.Service
 	Endpoints  []lavconfig.Endpoint
 	Candidates []lavplan.Candidate
-	// RateLimited is true if endpoints were left out because this host has used up
-	// its share of the requests that they accept while they are cold.
-	RateLimited bool
+	// Excluded counts the endpoints that were left out.
+	Excluded Exclusions
+	// NextAvailable is when the first of the endpoints that want no requests for a time may
+	// receive one again. It is zero if there is none.
+	NextAvailable time.Time
 	// Hosts is the number of hosts that may send requests to the service.
 	Hosts int
 	// Age is the time since the last report of the peers' load.
@@ -283,11 +283,18 @@
 	b := Snapshot{Service: svc.Service, Hosts: f.hosts, Age: now.Sub(f.peerReportAt)}
 	limit := f.hostLimit(svc)
 	for _, s := range svc.endpoints {
-		if !f.inService(s) || skip(s.Incarnation()) || !s.assigned {
-			continue
+		reason := f.exclusion(s, now)
+		switch {
+		case reason != ReasonNone:
+		case skip(s.Incarnation()):
+			reason = ReasonTried
+		case !s.assigned:
+			reason = ReasonUnassigned
+		case s.sent.count(now) >= limit:
+			reason = ReasonRateLimited
 		}
-		if s.sent.count(now) >= limit {
-			b.RateLimited = true
+		if reason != ReasonNone {
+			b.exclude(reason, f.statements[s.Incarnation()].aloneUntil)
 			continue
 		}
 		b.Endpoints = append(b.Endpoints, s.Endpoint)
--- a/lavfleet/fleet_test.go
+++ b/lavfleet/fleet_test.go
@@ -230,3 +230,66 @@
 	lavassert.True(t, "new incarnation has no load", b.Candidates[0].Zero())
 	lavassert.True(t, "new incarnation is not in backoff", !b.Candidates[0].InBackoff)
 }
+
+// TestStatements checks what endpoints have stated about themselves.
+func TestStatements(t *testing.T) {
+	life := lavconfig.Incarnation{ID: "e1", StartedAt: 1}
+	candidates := func(f *Fleet) int { b, _ := f.Snapshot("m", skipNone); return len(b.Candidates) }
+	list := func(f *Fleet, endpoints ...lavconfig.Endpoint) {
+		f.Update([]lavconfig.Service{engineService}, endpoints, nil)
+	}
+	t.Run("LeavingOutlastsAMissingEntry", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			f := testFleet(1)
+			lavassert.True(t, "first statement is new", f.RecordLeaving(life))
+			lavassert.True(t, "second statement is not", !f.RecordLeaving(life))
+			list(f)
+			time.Sleep(time.Minute)
+			list(f, endpoint("e1", "a"))
+			lavassert.Equal(t, "candidates", candidates(f), 0)
+			lavassert.True(t, "run may not begin", f.Begin([]Allocation{{Life: life}}) == nil)
+		})
+	})
+	t.Run("NextIncarnationIsNotLeaving", func(t *testing.T) {
+		f := testFleet(1)
+		restarted := endpoint("e1", "a")
+		restarted.StartedAt = time.UnixMilli(2)
+		list(f, restarted)
+		lavassert.True(t, "late statement of the former incarnation", f.RecordLeaving(life))
+		lavassert.Equal(t, "candidates", candidates(f), 1)
+	})
+	t.Run("RetryAfterEnds", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			f := testFleet(1)
+			f.RecordRetryAfter(life, 3*time.Second)
+			f.RecordRetryAfter(life, time.Second)
+			time.Sleep(2 * time.Second)
+			b, _ := f.Snapshot("m", skipNone)
+			lavassert.Equal(t, "excluded", b.Excluded.String(), "RetryAfter 1")
+			lavassert.Equal(t, "time until available", b.UntilAvailable(), time.Second)
+			lavassert.True(t, "available in time", b.AvailableBy(time.Now().Add(2*time.Second)))
+			lavassert.True(t, "not available in time", !b.AvailableBy(time.Now()))
+			time.Sleep(time.Second)
+			lavassert.Equal(t, "candidates afterwards", candidates(f), 2)
+		})
+	})
+	t.Run("RetryAfterIsBounded", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			f := testFleet(1)
+			f.RecordRetryAfter(life, 365*24*time.Hour)
+			time.Sleep(maxRetryAfter)
+			lavassert.Equal(t, "candidates afterwards", candidates(f), 2)
+		})
+	})
+	t.Run("FormerEndpointsAreForgotten", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			f := testFleet(1)
+			const many = 1000
+			for i := range many {
+				f.RecordLeaving(lavconfig.Incarnation{ID: "former", StartedAt: int64(i)})
+				time.Sleep(statementTTL / 10)
+			}
+			lavassert.AtMost(t, "statements", len(f.statements), 20)
+		})
+	})
+}
--- a/lavfleet/run.go
+++ b/lavfleet/run.go
@@ -30,7 +30,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	primary := f.endpoints[allocations[0].Life]
-	if primary == nil || !f.inService(primary) {
+	if primary == nil || f.exclusion(primary, now) != ReasonNone {
 		return nil
 	}
 	if svc := f.services[primary.Service]; svc != nil && !f.mayBegin(svc, primary, now) {
--- a/lavhost/host.go
+++ b/lavhost/host.go
@@ -136,6 +136,7 @@
 	h.mesh.Handle(lavmesh.TopicSuspicion, h.peers.handleSuspicion)
 	h.mesh.Handle(lavmesh.TopicNews, h.peers.handleUpdate)
 	h.mesh.Handle(lavmesh.TopicEntries, h.peers.handleStateRequest)
+	h.mesh.Handle(lavmesh.TopicLeaving, h.peers.handleLeaving)
 }
 
 func (h *Host) initIngress() {
@@ -144,6 +145,7 @@
 	h.state.mergeBlock = h.crashes.mergeStored
 	h.peers.crashes = h.crashes
 	relay := lavrelay.New(h.pool, h.fleet, h.confirmation, h.crashes, h.deps.Logger, h.deps.Scope, rand.Float64)
+	relay.NotifyLeaving(h.peers.broadcastLeaving)
 	relay.LimitReservationLease(h.settings.Bounds.MaxReservationLease)
 	h.ingress = &ingress{
 		state:        h.state,
--- a/lavmesh/message.go
+++ b/lavmesh/message.go
@@ -49,6 +49,8 @@
 	// TopicCrash broadcasts crashes of endpoints, and what shows that a request
 	// or an endpoint was wrongly suspected of one.
 	TopicCrash
+	// TopicLeaving broadcasts that an endpoint has stated that it will leave.
+	TopicLeaving
 	topicEnd
 )
 
--- a/lavmesh/topic_string.go
+++ b/lavmesh/topic_string.go
@@ -26,12 +26,13 @@
 	_ = x[TopicEntries-15]
 	_ = x[TopicSuspicion-16]
 	_ = x[TopicCrash-17]
-	_ = x[topicEnd-18]
+	_ = x[TopicLeaving-18]
+	_ = x[topicEnd-19]
 }
 
-const _Topic_name = "topicNonePingReleaseCreditLoadQuarantineLedgerBurnReleasePullMemberViewOwnerCacheBeatNewsEntriesSuspicionCrashtopicEnd"
+const _Topic_name = "topicNonePingReleaseCreditLoadQuarantineLedgerBurnReleasePullMemberViewOwnerCacheBeatNewsEntriesSuspicionCrashLeavingtopicEnd"
 
-var _Topic_index = [...]uint8{0, 9, 13, 20, 26, 30, 40, 46, 50, 61, 67, 71, 76, 81, 85, 89, 96, 105, 110, 118}
+var _Topic_index = [...]uint8{0, 9, 13, 20, 26, 30, 40, 46, 50, 61, 67, 71, 76, 81, 85, 89, 96, 105, 110, 117, 125}
 
 func (i Topic) String() string {
 	idx := int(i) - 0
--- a/lavplan/admit.go
+++ b/lavplan/admit.go
@@ -29,18 +29,22 @@
 // Bounds of the Retry-After time that a refused caller is given.
 const (
 	minRetryAfter = 1200 * time.Millisecond
-	maxRetryAfter = 5 * time.Second
+	// maxBacklogRetryAfter bounds the time for a backlog, which may end sooner than expected.
+	maxBacklogRetryAfter = 5 * time.Second
 	// retryJitter is the largest random extension, as a fraction of the time. It keeps
 	// callers that are refused together from retrying together.
 	retryJitter = 0.5
 )
 
 // RetryAfter returns when capacity is expected: once the mean prefill backlog has been
-// worked off.
-func RetryAfter(candidates []Candidate, draw func() float64) time.Duration {
-	wait := max(Backlog(candidates), minRetryAfter)
+// worked off, or, without a candidate, when the first endpoint is available again.
+func RetryAfter(candidates []Candidate, untilAvailable time.Duration, draw func() float64) time.Duration {
+	wait := min(max(Backlog(candidates), minRetryAfter), maxBacklogRetryAfter)
+	if len(candidates) == 0 {
+		wait = max(wait, untilAvailable)
+	}
 	wait += time.Duration(retryJitter * draw() * float64(wait))
-	return min(wait, maxRetryAfter)
+	return min(wait, max(maxBacklogRetryAfter, 2*untilAvailable))
 }
 
 // PlaceCall chooses the endpoint for a call to a service that is not a model engine: the
--- a/lavrelay/attempt.go
+++ b/lavrelay/attempt.go
@@ -38,6 +38,7 @@
 	t.arrivals++
 	t.trace.recordResponse(response)
 	head := platform.DecodeResponse(response.Status, response.Header)
+	t.relay.recordStatements(c.endpoint, head)
 	if head.NotRun {
 		response.Discard(head.IdleTimeout)
 		t.recordRefusal(c, head)
--- a/lavrelay/relay.go
+++ b/lavrelay/relay.go
@@ -47,7 +47,9 @@
 	suspects  Suspects
 	logger    *log.Logger
 	draw      func() float64
-	metrics   metrics
+	// tellLeaving tells the peers that an endpoint will leave.
+	tellLeaving LeaveFunc
+	metrics     metrics
 	// buffers is what responses may still buffer.
 	buffers byteBudget
 	// reservationLease is the lease duration that is requested for reservations, in
@@ -71,6 +73,8 @@
 		logger:    logger,
 		draw:      draw,
 		metrics:   newMetrics(scope),
+
+		tellLeaving: func(lavconfig.Incarnation) {},
 	}
 	r.reservationLease.Store(int64(reservationLease))
 	r.buffers.add(maxTotalBuffered)
@@ -87,6 +91,10 @@
 	r.reservationLease.Store(int64(lease))
 }
 
+// NotifyLeaving sets the function that tells the peers of endpoints that will leave. It must be
+// called before the first call is served.
+func (r *Relay) NotifyLeaving(tell LeaveFunc) { r.tellLeaving = tell }
+
 // Serve answers a call. It panics with http.ErrAbortHandler to abort the connection if the
 // caller has received a part of a response that can't be completed.
 func (r *Relay) Serve(ctx context.Context, w http.ResponseWriter, c *Call) {
@@ -189,27 +197,27 @@
 // Limits of the wait for endpoints that may receive the request.
 const (
 	pollInterval = 15 * time.Millisecond
-	// rateLimitWaitFraction is the fraction of the objective that a call may wait for
-	// endpoints that are left out because of the rate limit for cold endpoints.
-	rateLimitWaitFraction = 0.5
+	// availableWaitFraction is the fraction of the objective that a call may wait for
+	// endpoints that are left out for a limited time.
+	availableWaitFraction = 0.5
 	// waitSlack is the time kept free in the objective for two iterations and the
 	// delivery to the caller.
 	waitSlack = 200 * time.Millisecond
 )
 
 // choose selects endpoints and counts the run on them. It waits for a limited time in two
-// cases: if there is no plan and endpoints are left out because of the rate limit for cold
-// endpoints, and if the plan asks to wait for the prefill of other prompts.
+// cases: if there is no plan and endpoints that are left out will soon be available, and if
+// the plan asks to wait for the prefill of other prompts.
 func (t *task) choose(ctx context.Context) (*placement, Outcome) {
 	start := time.Now()
-	rateLimitWaitEnd := start.Add(time.Duration(float64(t.call.Route.Objective) * rateLimitWaitFraction))
+	availableWaitEnd := start.Add(time.Duration(float64(t.call.Route.Objective) * availableWaitFraction))
 	lateWaitEnd := t.call.Arrived.Add(t.call.Prompt.AbandonAfter() / 2)
 	for {
 		snapshot, ok := t.relay.fleet.Snapshot(t.call.Service, func(l lavconfig.Incarnation) bool { return t.tried[l] })
 		if !ok {
 			return nil, OutcomeNoEndpoint
 		}
-		mayPoll := time.Now().Before(rateLimitWaitEnd)
+		mayPoll := time.Now().Before(availableWaitEnd)
 		plan, ok := t.plan(snapshot)
 		t.trace.recordPlan(snapshot, plan)
 		if ok && (!plan.Wait || !t.mayWait(plan, lateWaitEnd)) {
@@ -218,8 +226,8 @@
 				return c, 0
 			}
 		}
-		if !ok && (!snapshot.RateLimited || !mayPoll) {
-			t.retryAfter = lavplan.RetryAfter(snapshot.Candidates, t.relay.draw)
+		if !ok && (!mayPoll || !snapshot.AvailableBy(availableWaitEnd)) {
+			t.retryAfter = lavplan.RetryAfter(snapshot.Candidates, snapshot.UntilAvailable(), t.relay.draw)
 			return nil, OutcomeFull
 		}
 		select {
--- a/lavrelay/reserve.go
+++ b/lavrelay/reserve.go
@@ -124,6 +124,7 @@
 		return 0, err
 	}
 	head := platform.DecodeResponse(response.Status, response.Header)
+	h.task.relay.recordStatements(e, head)
 	response.Discard(head.IdleTimeout)
 	return response.Status, nil
 }
--- a/lavrelay/slowdown.go
+++ b/lavrelay/slowdown.go
@@ -73,6 +73,7 @@
 	}
 	head := platform.DecodeResponse(response.Status, response.Header)
 	defer func() { response.Close(head.IdleTimeout) }()
+	r.recordStatements(e, head)
 	body, err := io.ReadAll(io.LimitReader(response, maxReportBytes))
 	if err != nil {
 		return platform.Report{}, lavstep.Wrap(err, lavstep.EngineLoad, e.ID)
--- a/lavrelay/trace.go
+++ b/lavrelay/trace.go
@@ -20,6 +20,7 @@
 	// candidates and the fields after it are the state on which the last choice of
 	// endpoints, or the refusal, was based.
 	candidates, inBackoff int
+	excluded              lavfleet.Exclusions
 	backlog, expected     time.Duration
 	loadAge               time.Duration
 	// waited is how long the last attempt waited before it was sent.
@@ -44,6 +45,7 @@
 
 // recordPlan records the state on which a plan is based.
 func (t *trace) recordPlan(b lavfleet.Snapshot, p lavplan.Plan) {
+	t.excluded = b.Excluded
 	t.candidates, t.inBackoff = len(b.Candidates), lavplan.CountInBackoff(b.Candidates)
 	t.backlog, t.expected = lavplan.Backlog(b.Candidates), p.Expected
 	t.loadAge = b.Age
@@ -82,6 +84,7 @@
 		Dur("Reading", t.trace.prefill).
 		Int("Candidates", t.trace.candidates).
 		Int("Doubtful", t.trace.inBackoff).
+		Str("Excluded", t.trace.excluded.String()).
 		Dur("Backlog", t.trace.backlog).
 		Dur("Expected", t.trace.expected).
 		Dur("LoadAge", t.trace.loadAge).
@@ -107,6 +110,11 @@
 	outcomes   map[Outcome]tally.Counter
 	firstEvent tally.Histogram
 	took       tally.Histogram
+	// leaving and leftAlone count the statements of endpoints that they will leave, or want
+	// no requests for a time.
+	leaving, leftAlone tally.Counter
+	// excluded counts the endpoints that were left out at the last choice of a call.
+	excluded [len(lavfleet.Exclusions{})]tally.Counter
 }
 
 // Buckets of the latency histograms.
@@ -125,6 +133,11 @@
 		firstEvent: s.Histogram("first_event", buckets),
 		took:       s.Histogram("took", buckets),
 	}
+	endpoints := scope.SubScope("endpoints")
+	c.leaving, c.leftAlone = endpoints.Counter("leaving_stated"), endpoints.Counter("left_alone")
+	for reason := range c.excluded {
+		c.excluded[reason] = endpoints.Tagged(map[string]string{"reason": lavfleet.Reason(reason).String()}).Counter("excluded")
+	}
 	for o := OutcomeDone; o <= OutcomeUnready; o++ {
 		c.outcomes[o] = s.Tagged(map[string]string{"outcome": o.String()}).Counter("ended")
 	}
@@ -133,6 +146,9 @@
 
 func (c *metrics) record(call *Call, t *task, o Outcome) {
 	c.outcomes[o].Inc(1)
+	for reason, n := range t.trace.excluded {
+		c.excluded[reason].Inc(int64(n))
+	}
 	c.took.RecordDuration(time.Since(call.Arrived))
 	if t.trace.firstEvent > 0 {
 		c.firstEvent.RecordDuration(t.trace.firstEvent)
