--- a/lavfleet/availability.go
+++ b/lavfleet/availability.go
@@ -123,28 +123,3 @@
 		return ReasonNone
 	}
 }
-
-// exclude counts an endpoint that was left out. It wants no requests until aloneUntil, if that
-// is the reason.
-func (b *Snapshot) exclude(reason Reason, aloneUntil time.Time) {
-	b.Excluded[reason]++
-	if reason == ReasonRetryAfter && (b.NextAvailable.IsZero() || aloneUntil.Before(b.NextAvailable)) {
-		b.NextAvailable = aloneUntil
-	}
-}
-
-// UntilAvailable returns the time until the first endpoint that wants no requests may receive
-// one again, zero if there is none.
-func (b *Snapshot) UntilAvailable() time.Duration {
-	if b.NextAvailable.IsZero() {
-		return 0
-	}
-	return time.Until(b.NextAvailable)
-}
-
-// AvailableBy reports whether an endpoint that was left out for a limited time may be available
-// before a time: one that wants no requests until then, or one of which this host has used up
-// its share, which is for a short time.
-func (b *Snapshot) AvailableBy(at time.Time) bool {
-	return b.Excluded[ReasonRateLimited] > 0 || !b.NextAvailable.IsZero() && b.NextAvailable.Before(at)
-}
--- a/lavhost/blockpublisher.go
+++ b/lavhost/blockpublisher.go
@@ -134,30 +134,30 @@
 
 // mergeStored applies the entry of a block. A removal that is not final may only mean
 // that the store has lost the entry.
-func (s *crashTracker) mergeStored(t lavcrash.Trait, e lavmirror.Entry, removalsFinal bool) {
+func (c *crashTracker) mergeStored(t lavcrash.Trait, e lavmirror.Entry, removalsFinal bool) {
 	if e.Removed {
-		s.setStored(t, false)
+		c.setStored(t, false)
 		if removalsFinal {
-			s.removeBlock(t)
+			c.removeBlock(t)
 		}
 		return
 	}
 	var b storedBlock
 	if err := json.Unmarshal(e.Value, &b); err != nil {
-		s.logger.Warn().Err(err).Str("ID", t.ID).Msg("ignoring invalid block entry")
+		c.logger.Warn().Err(err).Str("ID", t.ID).Msg("ignoring invalid block entry")
 		return
 	}
-	s.setStored(t, true)
-	s.addBlocks(lavcrash.Block{Trait: t, Until: b.Until})
+	c.setStored(t, true)
+	c.addBlocks(lavcrash.Block{Trait: t, Until: b.Until})
 }
 
-func (s *crashTracker) setStored(t lavcrash.Trait, stored bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
+func (c *crashTracker) setStored(t lavcrash.Trait, stored bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	if stored {
-		s.stored[t] = true
+		c.stored[t] = true
 	} else {
-		delete(s.stored, t)
+		delete(c.stored, t)
 	}
 }
 
@@ -170,17 +170,17 @@
 
 // compareStored returns the blocks of segments that the store doesn't have, and the
 // traits of which it has a block that no longer holds.
-func (s *crashTracker) compareStored() (missing []missingBlock, obsolete []lavcrash.Trait) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
+func (c *crashTracker) compareStored() (missing []missingBlock, obsolete []lavcrash.Trait) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	holds := make(map[lavcrash.Trait]bool)
-	for _, b := range s.attribution.Blocks(time.Now()) {
+	for _, b := range c.attribution.Blocks(time.Now()) {
 		holds[b.Trait] = true
-		if b.Trait.Kind == lavcrash.TraitSegment && !s.stored[b.Trait] {
-			missing = append(missing, missingBlock{Block: b, urgent: s.reported[b.Trait]})
+		if b.Trait.Kind == lavcrash.TraitSegment && !c.stored[b.Trait] {
+			missing = append(missing, missingBlock{Block: b, urgent: c.reported[b.Trait]})
 		}
 	}
-	for t := range s.stored {
+	for t := range c.stored {
 		if !holds[t] {
 			obsolete = append(obsolete, t)
 		}
--- a/lavhost/crashtracker.go
+++ b/lavhost/crashtracker.go
@@ -74,10 +74,10 @@
 }
 
 // Blocked implements lavrelay.Suspects.
-func (s *crashTracker) Blocked(c *lavrelay.Call) (string, bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	b, blocked := s.attribution.Blocked(time.Now(), c.Traits)
+func (c *crashTracker) Blocked(call *lavrelay.Call) (string, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	b, blocked := c.attribution.Blocked(time.Now(), call.Traits)
 	if !blocked {
 		return "", false
 	}
@@ -86,63 +86,63 @@
 
 // ConnectionLost implements lavrelay.Suspects. A response may be lost for many reasons.
 // The endpoint counts as crashed only if a new connection to it fails.
-func (s *crashTracker) ConnectionLost(c *lavrelay.Call, e lavconfig.Endpoint) {
-	s.logger.Warn().Str("Request", c.ID).Strs("Segments", c.PromptSegments).Str("Endpoint", e.ID).Msg("connection lost with a request")
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	traits, probing := s.lost[e.Incarnation()]
-	s.lost[e.Incarnation()] = append(traits, c.Traits...)
+func (c *crashTracker) ConnectionLost(call *lavrelay.Call, e lavconfig.Endpoint) {
+	c.logger.Warn().Str("Request", call.ID).Strs("Segments", call.PromptSegments).Str("Endpoint", e.ID).Msg("connection lost with a request")
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	traits, probing := c.lost[e.Incarnation()]
+	c.lost[e.Incarnation()] = append(traits, call.Traits...)
 	if !probing {
-		s.probes.Go(func() { s.probe(e) })
+		c.probes.Go(func() { c.probe(e) })
 	}
 }
 
 // Completed implements lavrelay.Suspects. It informs the peers if the request's
 // traits were suspected of a crash.
-func (s *crashTracker) Completed(c *lavrelay.Call) {
-	s.mu.Lock()
-	cleared := s.attribution.RecordCompletion(time.Now(), c.Traits)
-	s.logBlocks()
-	s.mu.Unlock()
+func (c *crashTracker) Completed(call *lavrelay.Call) {
+	c.mu.Lock()
+	cleared := c.attribution.RecordCompletion(time.Now(), call.Traits)
+	c.updateBlocks()
+	c.mu.Unlock()
 	if len(cleared) > 0 {
-		s.broadcast(crashMessage{Completed: cleared})
+		c.broadcast(crashMessage{Completed: cleared})
 	}
 }
 
 // Answered implements lavrelay.Suspects. An endpoint that answers a request
 // that was sent after its crash has not crashed: this host could not reach it.
-func (s *crashTracker) Answered(e lavconfig.Endpoint, sentAt time.Time) {
+func (c *crashTracker) Answered(e lavconfig.Endpoint, sentAt time.Time) {
 	life := e.Incarnation()
-	s.mu.Lock()
-	crashedAt, crashed := s.attribution.CrashedAt(life)
+	c.mu.Lock()
+	crashedAt, crashed := c.attribution.CrashedAt(life)
 	retract := crashed && sentAt.After(crashedAt)
 	if retract {
-		s.recordAlive(life)
+		c.recordAlive(life)
 	}
-	s.mu.Unlock()
+	c.mu.Unlock()
 	if retract {
-		s.metrics.retracted.Inc(1)
-		s.logger.Info().Str("Endpoint", e.ID).Msg("endpoint has not crashed")
-		s.broadcast(crashMessage{Alive: &life})
+		c.metrics.retracted.Inc(1)
+		c.logger.Info().Str("Endpoint", e.ID).Msg("endpoint has not crashed")
+		c.broadcast(crashMessage{Alive: &life})
 	}
 }
 
 // Wait returns once no connection attempt is in progress. Each one has a
 // timeout.
-func (s *crashTracker) Wait() { s.probes.Wait() }
+func (c *crashTracker) Wait() { c.probes.Wait() }
 
 // probe tries to connect to an endpoint and reports a crash if that fails.
-func (s *crashTracker) probe(e lavconfig.Endpoint) {
+func (c *crashTracker) probe(e lavconfig.Endpoint) {
 	time.Sleep(probeDelay)
 	ctx, cancel := context.WithTimeout(context.Background(), lavconn.DialTimeout)
 	defer cancel()
-	connection, err := s.dial(ctx, e.Address)
-	s.mu.Lock()
-	traits := s.lost[e.Incarnation()]
-	delete(s.lost, e.Incarnation())
-	s.mu.Unlock()
+	connection, err := c.dial(ctx, e.Address)
+	c.mu.Lock()
+	traits := c.lost[e.Incarnation()]
+	delete(c.lost, e.Incarnation())
+	c.mu.Unlock()
 	if err != nil {
-		s.reportCrash(e, traits)
+		c.reportCrash(e, traits)
 		return
 	}
 	// The connection serves only to show that the endpoint is running.
@@ -151,106 +151,106 @@
 
 // reportCrash records that an endpoint crashed with some requests, and informs
 // the peers.
-func (s *crashTracker) reportCrash(e lavconfig.Endpoint, traits []lavcrash.Trait) {
-	s.metrics.crashes.Inc(1)
-	s.logger.Warn().Str("Endpoint", e.ID).Int("Traits", len(traits)).Msg("endpoint crashed")
+func (c *crashTracker) reportCrash(e lavconfig.Endpoint, traits []lavcrash.Trait) {
+	c.metrics.crashes.Inc(1)
+	c.logger.Warn().Str("Endpoint", e.ID).Int("Traits", len(traits)).Msg("endpoint crashed")
 	r := lavcrash.Report{Endpoint: e.Incarnation(), Traits: traits}
-	s.recordCrash(r, true)
-	s.broadcast(crashMessage{Crash: &r})
+	c.recordCrash(r, true)
+	c.broadcast(crashMessage{Crash: &r})
 }
 
 // recordCrash records a crash that this host or a peer has observed.
-func (s *crashTracker) recordCrash(r lavcrash.Report, own bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.attribution.RecordCrash(time.Now(), r)
-	for _, t := range s.logBlocks() {
-		s.reported[t] = own
+func (c *crashTracker) recordCrash(r lavcrash.Report, own bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.attribution.RecordCrash(time.Now(), r)
+	for _, t := range c.updateBlocks() {
+		c.reported[t] = own
 	}
 }
 
 // recordAlive drops the crash of an endpoint. The caller holds the lock.
-func (s *crashTracker) recordAlive(life lavconfig.Incarnation) {
-	s.attribution.RecordAlive(time.Now(), life)
-	s.logBlocks()
+func (c *crashTracker) recordAlive(life lavconfig.Incarnation) {
+	c.attribution.RecordAlive(time.Now(), life)
+	c.updateBlocks()
 }
 
-func (s *crashTracker) broadcast(m crashMessage) {
-	if _, err := s.mesh.Broadcast(lavmesh.TopicCrash, m); err != nil {
-		s.logger.Warn().Err(err).Msg("failed to send crash to peers")
+func (c *crashTracker) broadcast(m crashMessage) {
+	if _, err := c.mesh.Broadcast(lavmesh.TopicCrash, m); err != nil {
+		c.logger.Warn().Err(err).Msg("failed to send crash to peers")
 	}
 }
 
 // handleMessage records what a peer observed.
-func (s *crashTracker) handleMessage(_ context.Context, _ string, body []byte) (any, error) {
+func (c *crashTracker) handleMessage(_ context.Context, _ string, body []byte) (any, error) {
 	var m crashMessage
 	if err := lavmesh.Decode(body, &m); err != nil {
 		return nil, err
 	}
 	if m.Crash != nil {
-		s.recordCrash(*m.Crash, false)
+		c.recordCrash(*m.Crash, false)
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	if len(m.Completed) > 0 {
-		s.attribution.RecordCompletion(time.Now(), m.Completed)
-		s.logBlocks()
+		c.attribution.RecordCompletion(time.Now(), m.Completed)
+		c.updateBlocks()
 	}
 	if m.Alive != nil {
-		s.recordAlive(*m.Alive)
+		c.recordAlive(*m.Alive)
 	}
 	return nil, nil
 }
 
 // currentBlocks returns the blocks in force.
-func (s *crashTracker) currentBlocks() []lavcrash.Block {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.attribution.Blocks(time.Now())
+func (c *crashTracker) currentBlocks() []lavcrash.Block {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.attribution.Blocks(time.Now())
 }
 
 // addBlocks adds blocks that a peer or the store reports.
-func (s *crashTracker) addBlocks(blocks ...lavcrash.Block) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
+func (c *crashTracker) addBlocks(blocks ...lavcrash.Block) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	for _, b := range blocks {
-		s.attribution.AddBlock(time.Now(), b)
+		c.attribution.AddBlock(time.Now(), b)
 	}
-	s.logBlocks()
+	c.updateBlocks()
 }
 
 // removeBlock ends a block that was removed from the store.
-func (s *crashTracker) removeBlock(t lavcrash.Trait) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.attribution.RecordCompletion(time.Now(), []lavcrash.Trait{t})
-	s.logBlocks()
+func (c *crashTracker) removeBlock(t lavcrash.Trait) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.attribution.RecordCompletion(time.Now(), []lavcrash.Trait{t})
+	c.updateBlocks()
 }
 
-// logBlocks logs the blocks that have begun or ended, and signals their change. It
+// updateBlocks logs the blocks that have begun or ended, and signals their change. It
 // returns the traits that are newly blocked. The caller holds the lock.
-func (s *crashTracker) logBlocks() []lavcrash.Trait {
+func (c *crashTracker) updateBlocks() []lavcrash.Trait {
 	var begun []lavcrash.Trait
 	now := make(map[lavcrash.Trait]bool)
-	for _, b := range s.attribution.Blocks(time.Now()) {
+	for _, b := range c.attribution.Blocks(time.Now()) {
 		now[b.Trait] = true
-		if !s.blocked[b.Trait] {
+		if !c.blocked[b.Trait] {
 			begun = append(begun, b.Trait)
-			s.logger.Warn().Str("Kind", b.Trait.Kind.String()).Str("ID", b.Trait.ID).Time("Until", b.Until).Msg("blocked what crashes endpoints")
+			c.logger.Warn().Str("Kind", b.Trait.Kind.String()).Str("ID", b.Trait.ID).Time("Until", b.Until).Msg("blocked what crashes endpoints")
 		}
 	}
-	for t := range s.blocked {
+	for t := range c.blocked {
 		if !now[t] {
-			delete(s.reported, t)
-			s.logger.Info().Str("Kind", t.Kind.String()).Str("ID", t.ID).Msg("unblocked")
+			delete(c.reported, t)
+			c.logger.Info().Str("Kind", t.Kind.String()).Str("ID", t.ID).Msg("unblocked")
 		}
 	}
-	changed := len(begun) > 0 || len(now) != len(s.blocked)
-	s.blocked = now
-	s.metrics.blocks.Update(float64(len(now)))
+	changed := len(begun) > 0 || len(now) != len(c.blocked)
+	c.blocked = now
+	c.metrics.blocks.Update(float64(len(now)))
 	if changed {
 		select {
-		case s.blocksChanged <- struct{}{}:
+		case c.blocksChanged <- struct{}{}:
 		default:
 		}
 	}
--- /dev/null
+++ b/lavrelay/placement.go
@@ -0,0 +1,131 @@
+package lavrelay
+
+import (
+	"context"
+	"time"
+
+	"lavenderrack.example/lavenderrack/lavconfig"
+	"lavenderrack.example/lavenderrack/lavfleet"
+	"lavenderrack.example/lavenderrack/lavplan"
+)
+
+// placement is the endpoints of an attempt and the plan that selected them.
+type placement struct {
+	endpoint lavconfig.Endpoint
+	helpers  []lavconfig.Endpoint
+	plan     lavplan.Plan
+	// engine is nil if the service is not a model engine.
+	engine *lavconfig.Engine
+	run    *lavfleet.Run
+}
+
+// Limits of the wait for endpoints that may receive the request.
+const (
+	pollInterval = 15 * time.Millisecond
+	// availableWaitFraction is the fraction of the objective that a call may wait for
+	// endpoints that are left out for a limited time.
+	availableWaitFraction = 0.5
+	// waitSlack is the time kept free in the objective for two iterations and the
+	// delivery to the caller.
+	waitSlack = 200 * time.Millisecond
+)
+
+// choose selects endpoints and counts the run on them. It waits for a limited time in two
+// cases: if there is no plan and endpoints that are left out will soon be available, and if
+// the plan asks to wait for the prefill of other prompts.
+func (t *task) choose(ctx context.Context) (*placement, Outcome) {
+	start := time.Now()
+	availableWaitEnd := start.Add(time.Duration(float64(t.call.Route.Objective) * availableWaitFraction))
+	lateWaitEnd := t.call.Arrived.Add(t.call.Prompt.AbandonAfter() / 2)
+	for {
+		snapshot, ok := t.relay.fleet.Snapshot(t.call.Service, func(l lavconfig.Incarnation) bool { return t.tried[l] })
+		if !ok {
+			return nil, OutcomeNoEndpoint
+		}
+		mayPoll := time.Now().Before(availableWaitEnd)
+		plan, ok := t.plan(snapshot)
+		t.trace.recordPlan(snapshot, plan)
+		if ok && (!plan.Wait || !t.mayWait(plan, lateWaitEnd)) {
+			if c := t.beginRun(snapshot, plan); c != nil {
+				t.trace.waited = time.Since(start)
+				return c, 0
+			}
+		}
+		if !ok && (!mayPoll || !snapshot.AvailableBy(availableWaitEnd)) {
+			t.retryAfter = lavplan.RetryAfter(snapshot.Candidates, snapshot.UntilAvailable(), t.relay.draw)
+			return nil, OutcomeFull
+		}
+		select {
+		case <-ctx.Done():
+			return nil, OutcomeFull
+		case <-time.After(pollInterval + time.Duration(t.relay.draw()*float64(pollInterval))):
+		}
+	}
+}
+
+// mayWait reports whether a prompt can wait for the prefill of others. It can while there
+// is still time to meet its objective afterwards. If it misses its objective in any case, it can wait until
+// lateWaitEnd.
+func (t *task) mayWait(plan lavplan.Plan, lateWaitEnd time.Time) bool {
+	now := time.Now()
+	done := now.Add(plan.Prefill + waitSlack)
+	if done.Before(t.call.Arrived.Add(t.call.Route.Objective)) {
+		return true
+	}
+	late := now.Add(plan.Expected).After(t.call.Arrived.Add(t.call.Route.Objective))
+	return late && now.Before(lateWaitEnd)
+}
+
+// plan selects the endpoints for the request, or returns false if it should not run.
+func (t *task) plan(b lavfleet.Snapshot) (lavplan.Plan, bool) {
+	if b.Service.Engine == nil {
+		return lavplan.PlaceCall(b.Candidates, t.relay.draw)
+	}
+	tieBreakers := lavplan.DrawTieBreakers(len(b.Candidates), b.Hosts, t.relay.draw)
+	plan, ok := lavplan.Place(b.Service.Engine, t.call.Prompt, b.Candidates, tieBreakers)
+	return plan, ok && (t.arrivals > 0 || lavplan.Admit(t.call.Prompt, plan, b.Candidates))
+}
+
+// beginRun counts the run on the endpoints of a plan. It returns nil if the primary endpoint
+// may no longer receive the request.
+func (t *task) beginRun(b lavfleet.Snapshot, plan lavplan.Plan) *placement {
+	c := &placement{endpoint: b.Endpoints[plan.Primary], plan: plan, engine: b.Service.Engine}
+	for _, h := range plan.Helpers {
+		c.helpers = append(c.helpers, b.Endpoints[h])
+	}
+	c.run = t.relay.fleet.Begin(t.allocations(c))
+	if c.run == nil {
+		return nil
+	}
+	return c
+}
+
+// allocations returns the load that a placement puts on each of its endpoints.
+func (t *task) allocations(c *placement) []lavfleet.Allocation {
+	p := t.call.Prompt
+	kvTokens := 0
+	if e := c.engine; e != nil {
+		kvTokens = p.KVTokens(e)
+	}
+	allocations := make([]lavfleet.Allocation, 1, 1+len(c.helpers))
+	for i, h := range c.helpers {
+		allocation := lavfleet.Allocation{Life: h.Incarnation(), Load: lavplan.Load{Prefill: c.plan.Prefill}}
+		if i < len(c.plan.Reserve) {
+			allocation.Load.KVTokens = c.plan.Reserve[i]
+			kvTokens -= c.plan.Reserve[i]
+		}
+		allocations = append(allocations, allocation)
+	}
+	primary := lavplan.Load{Requests: 1, Prefill: c.plan.Prefill, KVTokens: kvTokens}
+	if p.Strict() {
+		primary.Strict = 1
+	}
+	if p.Medium() {
+		primary.Medium = 1
+	}
+	if p.Late() {
+		primary.Late = 1
+	}
+	allocations[0] = lavfleet.Allocation{Life: c.endpoint.Incarnation(), Load: primary}
+	return allocations
+}
