Forward broadcasts only through peers that still send

A host that is cut off kept its place in the ring until its links closed, 1.3 s later. TestSilentForwarder failed before: members got 14 to 22 of 23 broadcasts.

TestLargeFleet/CutOffHostIsDroppedAndReturns, six side by side: the drop fails in 0 of 36 runs; the return, its second check, fails in 5 of 36, and in 3 of 36 without this change beside the same load.

--- a/lavmesh/broadcast.go
+++ b/lavmesh/broadcast.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"time"
 
 	"lavenderrack.example/lavenderrack/lavmember"
@@ -52,12 +54,7 @@
 // forward sends a broadcast to the linked peers within its remaining span and
 // returns the number of peers to which it was sent.
 func (m *Mesh) forward(msg message) int {
-	m.mu.Lock()
-	links := make([]*link, 0, len(m.links))
-	for _, l := range m.links {
-		links = append(links, l)
-	}
-	m.mu.Unlock()
+	links := m.forwardingLinks()
 	remaining := ringSpan{from: positionOf(m.membership.Self().Incarnation), limit: msg.Limit}
 	return divideSpan(remaining, links, func(l *link) position { return l.ringPosition }, func(l *link, limit position) bool {
 		next := msg
@@ -66,6 +63,26 @@
 	})
 }
 
+// forwardingLinks returns the links to peers that can be relied on to forward a
+// broadcast within their section of the ring. If none of the peers is
+// responsive, it returns all links, as after a freeze of this process.
+func (m *Mesh) forwardingLinks() []*link {
+	m.mu.Lock()
+	links := slices.Collect(maps.Values(m.links))
+	m.mu.Unlock()
+	now := time.Now()
+	var responsive []*link
+	for _, l := range links {
+		if l.responsive(now) {
+			responsive = append(responsive, l)
+		}
+	}
+	if len(responsive) == 0 {
+		return links
+	}
+	return responsive
+}
+
 // incarnationIndex maps ring positions to incarnations for one membership view.
 type incarnationIndex struct {
 	view       *lavmember.View
--- a/lavmesh/link.go
+++ b/lavmesh/link.go
@@ -140,6 +140,17 @@
 	l.lastReceivedAt = time.Now()
 }
 
+// missedPings is the number of pings after which a peer that sends nothing is not relied on.
+const missedPings = 2
+
+// responsive reports whether the peer has sent something recently. A peer that has become
+// unreachable stops doing so before its link closes.
+func (l *link) responsive(now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return now.Sub(l.lastReceivedAt) < missedPings*l.timing.Ping+l.timing.Ping/4
+}
+
 // silentSince reports whether nothing was received after a call was sent,
 // although a working link would have delivered a ping in that time.
 func (l *link) silentSince(sent time.Time) bool {
