Block a segment again whose block has ended

The crashes that led to a block count until its end now. Found by reading; TestSegmentIsBlockedAgain failed before.

--- a/lavcrash/attribution.go
+++ b/lavcrash/attribution.go
@@ -58,8 +58,8 @@
 type Attribution struct {
 	// crashes are in the order of their times.
 	crashes []*crash
-	// completed is when a request with a trait last completed. It has traits of crashes
-	// only.
+	// completed is when a request with a trait last completed, or when the last block of the
+	// trait ended. It has traits of crashes only.
 	completed map[Trait]time.Time
 	// own are the blocks that follow from the crashes, and reported those that other hosts
 	// have reported.
@@ -188,8 +188,15 @@
 	return c.traits[t] && !a.completed[t].After(c.at)
 }
 
-// expire drops what is too old to count.
+// expire drops what is too old to count. The crashes that led to a block count until its end,
+// so that it takes as many new ones to block the trait again.
 func (a *Attribution) expire(now time.Time) {
+	for t, until := range a.own {
+		if !now.Before(until) {
+			a.completed[t] = until
+			delete(a.own, t)
+		}
+	}
 	a.crashes = slices.DeleteFunc(a.crashes, func(c *crash) bool { return now.Sub(c.at) > RequestBlockDuration })
 	maps.DeleteFunc(a.reported, func(_ Trait, until time.Time) bool { return !now.Before(until) })
 	maps.DeleteFunc(a.completed, func(t Trait, _ time.Time) bool {
--- a/lavcrash/attribution_test.go
+++ b/lavcrash/attribution_test.go
@@ -79,6 +79,18 @@
 	h.assertBlocked(t, "after the end of the block", traits(100, "x", "bad"), "")
 }
 
+func TestSegmentIsBlockedAgain(t *testing.T) {
+	h := newHistory()
+	for round := range 3 {
+		for n := range lavcrash.SegmentCrashes {
+			h.assertBlocked(t, fmt.Sprint("before enough crashes, round ", round), traits(100, "bad"), "")
+			h.crash(traits(10*round+n, "bad"))
+		}
+		h.assertBlocked(t, fmt.Sprint("after enough crashes, round ", round), traits(100, "bad"), "Segment s-bad")
+		h.now = h.now.Add(lavcrash.SegmentBlockDuration)
+	}
+}
+
 func TestSoundSegmentsAreNotBlocked(t *testing.T) {
 	t.Run("CompletedBetweenCrashes", func(t *testing.T) {
 		h := newHistory()
--- a/lavhost/blockpublisher.go
+++ b/lavhost/blockpublisher.go
@@ -173,11 +173,13 @@
 func (c *crashTracker) compareStored() (missing []missingBlock, obsolete []lavcrash.Trait) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	// Blocks end with time, too.
+	c.updateBlocks()
 	holds := make(map[lavcrash.Trait]bool)
 	for _, b := range c.attribution.Blocks(time.Now()) {
 		holds[b.Trait] = true
 		if b.Trait.Kind == lavcrash.TraitSegment && !c.stored[b.Trait] {
-			missing = append(missing, missingBlock{Block: b, urgent: c.reported[b.Trait]})
+			missing = append(missing, missingBlock{Block: b, urgent: c.byOwnReport[b.Trait]})
 		}
 	}
 	for t := range c.stored {
--- a/lavhost/crashtracker.go
+++ b/lavhost/crashtracker.go
@@ -46,9 +46,9 @@
 	// that is being probed.
 	lost map[lavconfig.Incarnation][]lavcrash.Trait
 	// blocked are the traits that were blocked when the blocks were last logged,
-	// reported those of them that a report of this host led to, and stored those
+	// byOwnReport those of them that a report of this host led to, and stored those
 	// whose block the store has.
-	blocked, reported, stored map[lavcrash.Trait]bool
+	blocked, byOwnReport, stored map[lavcrash.Trait]bool
 }
 
 // crashMetrics count crashes and the blocks that follow from them.
@@ -68,7 +68,7 @@
 		attribution:   lavcrash.NewAttribution(),
 		lost:          make(map[lavconfig.Incarnation][]lavcrash.Trait),
 		blocked:       make(map[lavcrash.Trait]bool),
-		reported:      make(map[lavcrash.Trait]bool),
+		byOwnReport:   make(map[lavcrash.Trait]bool),
 		stored:        make(map[lavcrash.Trait]bool),
 	}
 }
@@ -165,7 +165,7 @@
 	defer c.mu.Unlock()
 	c.attribution.RecordCrash(time.Now(), r)
 	for _, t := range c.updateBlocks() {
-		c.reported[t] = own
+		c.byOwnReport[t] = own
 	}
 }
 
@@ -241,7 +241,7 @@
 	}
 	for t := range c.blocked {
 		if !now[t] {
-			delete(c.reported, t)
+			delete(c.byOwnReport, t)
 			c.logger.Info().Str("Kind", t.Kind.String()).Str("ID", t.ID).Msg("unblocked")
 		}
 	}
