--- a/lavfleet/availability.go
+++ b/lavfleet/availability.go
@@ -79,7 +79,7 @@
 	s := f.statements[life]
 	known := s.leaving
 	s.leaving = true
-	f.state(life, s)
+	f.putStatement(life, s)
 	return !known
 }
 
@@ -92,12 +92,12 @@
 	if until := time.Now().Add(min(d, maxRetryAfter)); until.After(s.aloneUntil) {
 		s.aloneUntil = until
 	}
-	f.state(life, s)
+	f.putStatement(life, s)
 }
 
-// state stores a statement, and drops those of endpoints that are gone. The caller holds the
+// putStatement stores a statement, and drops those of endpoints that are gone. The caller holds the
 // lock.
-func (f *Fleet) state(life lavconfig.Incarnation, s statement) {
+func (f *Fleet) putStatement(life lavconfig.Incarnation, s statement) {
 	now := time.Now()
 	s.at = now
 	f.statements[life] = s
