Reach the members that follow a broadcast's origin without its links to them

The sections of the ring among which a broadcast is divided begin at the first peer that the origin has a link to. The last peer's section now goes on past the origin up to the first peer.

--- a/lavmesh/broadcast.go
+++ b/lavmesh/broadcast.go
@@ -55,6 +55,7 @@
 // returns the number of peers to which it was sent.
 func (m *Mesh) forward(msg message) int {
 	links := m.forwardingLinks()
+	links = slices.DeleteFunc(links, func(l *link) bool { return l.ringPosition == msg.Origin })
 	remaining := ringSpan{from: positionOf(m.membership.Self().Incarnation), limit: msg.Limit}
 	return divideSpan(remaining, links, func(l *link) position { return l.ringPosition }, func(l *link, limit position) bool {
 		next := msg
--- a/lavmesh/ring.go
+++ b/lavmesh/ring.go
@@ -71,6 +71,11 @@
 	})
 	accepted := 0
 	limit := s.limit
+	if s.from == s.limit && len(within) > 0 {
+		// The origin may have no link to the members that follow it on the ring. The
+		// section of the last peer goes on past the origin to cover them.
+		limit = locate(within[len(within)-1])
+	}
 	for _, p := range within {
 		if send(p, limit) {
 			limit = locate(p)
--- a/lavmesh/ring_test.go
+++ b/lavmesh/ring_test.go
@@ -21,6 +21,11 @@
 // It returns how often each member received the message, and the maximum number
 // of hops. Members in down receive nothing.
 func deliver(v *lavmember.View, down map[position]bool) (times map[position]int, hops int) {
+	return deliverOver(v, linksOf(v), down)
+}
+
+// linksOf returns the links of all members.
+func linksOf(v *lavmember.View) map[position]map[position]bool {
 	links := make(map[position]map[position]bool)
 	add := func(a, b position) {
 		if links[a] == nil {
@@ -34,13 +39,21 @@
 			add(positionOf(peer.Incarnation), positionOf(m.Incarnation))
 		}
 	}
+	return links
+}
+
+// deliverOver is like deliver, over the given links.
+func deliverOver(v *lavmember.View, links map[position]map[position]bool, down map[position]bool) (times map[position]int, hops int) {
+	origin := positionOf(v.Members[0].Incarnation)
 	times = make(map[position]int)
 	var pass func(at, limit position, depth int)
 	pass = func(at, limit position, depth int) {
 		hops = max(hops, depth)
 		var peers []position
 		for p := range links[at] {
-			peers = append(peers, p)
+			if p != origin {
+				peers = append(peers, p)
+			}
 		}
 		divideSpan(ringSpan{from: at, limit: limit}, peers, func(p position) position { return p }, func(p, limit position) bool {
 			if down[p] {
@@ -51,7 +64,6 @@
 			return true
 		})
 	}
-	origin := positionOf(v.Members[0].Incarnation)
 	pass(origin, origin, 0)
 	return times, hops
 }
@@ -68,6 +80,18 @@
 			lavassert.AtMost(t, "neighbours", len(neighbours("entry-0000", viewOf(n))), 9)
 		})
 	}
+	t.Run("members that follow an origin without links to them are reached", func(t *testing.T) {
+		v := viewOf(60)
+		links := linksOf(v)
+		origin := positionOf(v.Members[0].Incarnation)
+		for i, m := range neighbours(v.Members[0].Incarnation, v) {
+			if i < 3 {
+				delete(links[origin], positionOf(m.Incarnation))
+			}
+		}
+		times, _ := deliverOver(v, links, nil)
+		lavassert.Equal(t, "members reached", len(times), 59)
+	})
 	t.Run("members behind a failed peer are reached through others", func(t *testing.T) {
 		v := viewOf(430)
 		down := make(map[position]bool)
