--- a/lavhost/crashload_test.go
+++ b/lavhost/crashload_test.go
@@ -60,13 +60,17 @@
 		random:    rand.New(rand.NewPCG(seed, 1)),
 	}
 	for i := range crashLoadEndpoints {
-		l.endpoints.Start(netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 100, 0, byte(1 + i)}), 80), emulatedDomain(i))
+		l.endpoints.Start(crashLoadEndpoint(i), emulatedDomain(i))
 	}
 	l.fleet = startFleetWith(t, crashLoadHosts, store, endpoints.Dial)
 	time.Sleep(crashLoadSettle)
 	return l
 }
 
+func crashLoadEndpoint(i int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 100, 0, byte(1 + i)}), 80)
+}
+
 // end waits for all callers and ends the fleet.
 func (l *crashLoad) end(t *testing.T) {
 	t.Helper()
--- a/lavhost/leaving_test.go
+++ b/lavhost/leaving_test.go
@@ -29,3 +29,31 @@
 		f.end(t)
 	})
 }
+
+// TestEndpointThatLeftReturns guards against requests to an endpoint that has stated that it will
+// leave, and against an endpoint that is left out after it has started again.
+func TestEndpointThatLeftReturns(t *testing.T) {
+	const (
+		drainTime = 2 * time.Second
+		// changeTime is how long a change of the store may take to be known.
+		changeTime = 2 * time.Second
+		returnTime = time.Second
+	)
+	synctest.Test(t, func(t *testing.T) {
+		l := startCrashLoad(t, 4)
+		at := crashLoadEndpoint(0)
+		l.play(soundPhase)
+		share := l.endpoints.Served(at, time.Now().Add(-soundPhase), time.Now())
+		lavassert.AtLeast(t, "streams of the endpoint before", share, 1)
+		l.endpoints.Leave(at)
+		left := time.Now()
+		l.play(soundPhase)
+		lavassert.Equal(t, "streams after it has stated that it will leave", l.endpoints.Served(at, left.Add(drainTime), time.Now()), 0)
+		l.endpoints.Restart(at)
+		back := time.Now()
+		l.play(soundPhase)
+		lavassert.AtLeast(t, "streams in the first seconds after its return", l.endpoints.Served(at, back, back.Add(changeTime+returnTime)), 1)
+		lavassert.AtLeast(t, "streams after its return", l.endpoints.Served(at, back, time.Now()), share/2)
+		l.end(t)
+	})
+}
