--- a/lavhost/crashload_test.go
+++ b/lavhost/crashload_test.go
@@ -41,10 +41,10 @@
 type crashLoad struct {
 	fleet     *emulatedFleet
 	endpoints *standin.CrashingEndpoints
-	random    *rand.Rand
 	callers   sync.WaitGroup
 
 	mu       sync.Mutex
+	random   *rand.Rand
 	attempts []soundAttempt
 	// requests counts the requests, for their IDs.
 	requests int
@@ -83,10 +83,17 @@
 	time.Sleep(contactTime)
 }
 
+// draw returns a random number in [0, 1).
+func (l *crashLoad) draw() float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.random.Float64()
+}
+
 // segment returns a random segment that sound prompts share. Some are far more frequent than
 // others.
 func (l *crashLoad) segment(kind string) string {
-	u := l.random.Float64()
+	u := l.draw()
 	return fmt.Sprint(kind, int(u*u*crashLoadSegments))
 }
 
@@ -96,10 +103,10 @@
 	end := time.Now().Add(span)
 	rate := soundRequestsPerS + crashingPerS*float64(len(crashing))
 	for time.Now().Before(end) {
-		time.Sleep(time.Duration(l.random.ExpFloat64() / rate * float64(time.Second)))
+		time.Sleep(time.Duration(-math.Log(1-l.draw()) / rate * float64(time.Second)))
 		first, second := l.segment("a"), l.segment("b")
-		i := int(l.random.Float64()*rate-soundRequestsPerS) / crashingPerS
-		sound := l.random.Float64()*rate < soundRequestsPerS || len(crashing) == 0
+		i := int(l.draw()*rate-soundRequestsPerS) / crashingPerS
+		sound := l.draw()*rate < soundRequestsPerS || len(crashing) == 0
 		if !sound {
 			c := crashing[max(i, 0)%len(crashing)]
 			if c.first {
@@ -141,9 +148,7 @@
 // send sends a prompt to a random host, and reports whether it was answered and whether the
 // answer has begun.
 func (l *crashLoad) send(own string, attempt int, first, second string) (done, begun bool) {
-	l.mu.Lock()
-	h := l.fleet.hosts[l.random.IntN(len(l.fleet.hosts))]
-	l.mu.Unlock()
+	h := l.fleet.host(int(l.draw() * crashLoadHosts))
 	out := httptest.NewRecorder()
 	defer func() {
 		// The host aborts a stream that it can't complete.
--- a/lavhost/fleetemulator_test.go
+++ b/lavhost/fleetemulator_test.go
@@ -106,7 +106,9 @@
 	store   *standin.Store
 	network *lavfakenet.Network
 	// dial opens connections to endpoints.
-	dial  lavconn.Dialer
+	dial lavconn.Dialer
+	// mu guards hosts while some are restarted beside requests.
+	mu    sync.Mutex
 	hosts []*Host
 	// hostEnded is closed when the host with the same index has ended.
 	hostEnded []chan struct{}
@@ -185,10 +187,20 @@
 		<-f.hostEnded[i]
 	}
 	for _, i := range hosts {
-		f.hosts[i] = f.start(i)
+		h := f.start(i)
+		f.mu.Lock()
+		f.hosts[i] = h
+		f.mu.Unlock()
 	}
 }
 
+// host returns the host with the index.
+func (f *emulatedFleet) host(i int) *Host {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.hosts[i]
+}
+
 func emulatedSettings(i int, domain string) platform.Settings {
 	address := netip.AddrFrom4([4]byte{10, 1, byte(i / 250), byte(1 + i%250)})
 	return platform.Settings{
