--- a/lavrelay/attempt.go
+++ b/lavrelay/attempt.go
@@ -36,8 +36,8 @@
 		return t.afterNoResponse(ctx, err)
 	}
 	t.arrivals++
-	t.trace.recordResponse(response)
 	head := platform.DecodeResponse(response.Status, response.Header)
+	t.trace.recordResponse(response, head)
 	t.relay.recordStatements(c.endpoint, head)
 	if head.NotRun {
 		response.Discard(head.IdleTimeout)
--- a/lavrelay/statements.go
+++ b/lavrelay/statements.go
@@ -20,6 +20,9 @@
 		r.logger.Info().Str("Endpoint", e.ID).Msg("endpoint states that it will leave")
 		r.tellLeaving(life)
 	}
+	if head.LimitStated {
+		r.metrics.limited.Inc(1)
+	}
 	if head.RetryAfter > 0 {
 		r.metrics.leftAlone.Inc(1)
 		r.logger.Info().Str("Endpoint", e.ID).Dur("RetryAfter", head.RetryAfter).Msg("endpoint wants no requests")
--- a/lavrelay/trace.go
+++ b/lavrelay/trace.go
@@ -1,11 +1,13 @@
 package lavrelay
 
 import (
+	"strconv"
 	"time"
 
 	"lavenderrack.example/lavenderrack/lavconn"
 	"lavenderrack.example/lavenderrack/lavfleet"
 	"lavenderrack.example/lavenderrack/lavplan"
+	"lavenderrack.example/lavenderrack/platform"
 
 	"github.com/phuslu/log"
 	"github.com/uber-go/tally/v4"
@@ -35,6 +37,9 @@
 	// followed its last whole event.
 	framing      lavconn.Framing
 	partialBytes int
+	// limit is what the endpoint of the last response states to take from all hosts, in
+	// requests per second. It is empty if the response states no limit.
+	limit string
 }
 
 func (t *trace) recordAttempt(c *placement) {
@@ -51,7 +56,12 @@
 	t.loadAge = b.Age
 }
 
-func (t *trace) recordResponse(r *lavconn.Response) { t.framing, t.partialBytes = r.Framing, 0 }
+func (t *trace) recordResponse(r *lavconn.Response, head platform.Response) {
+	t.framing, t.partialBytes, t.limit = r.Framing, 0, ""
+	if head.LimitStated {
+		t.limit = strconv.FormatFloat(head.RequestsPerSecond, 'f', -1, 64)
+	}
+}
 
 func (t *trace) recordError(err error) { t.failure = err.Error() }
 
@@ -101,6 +111,7 @@
 		Dur("RetryAfter", t.retryAfter).
 		Str("Failure", t.trace.failure).
 		Str("Blocked", t.trace.blocked).
+		Str("Limit", t.trace.limit).
 		Msg("request")
 }
 
@@ -110,9 +121,9 @@
 	outcomes   map[Outcome]tally.Counter
 	firstEvent tally.Histogram
 	took       tally.Histogram
-	// leaving and leftAlone count the statements of endpoints that they will leave, or want
-	// no requests for a time.
-	leaving, leftAlone tally.Counter
+	// leaving, leftAlone and limited count the statements of endpoints that they will leave,
+	// want no requests for a time, or take a limited number of requests.
+	leaving, leftAlone, limited tally.Counter
 	// excluded counts the endpoints that were left out at the last choice of a call.
 	excluded [len(lavfleet.Exclusions{})]tally.Counter
 }
@@ -135,6 +146,7 @@
 	}
 	endpoints := scope.SubScope("endpoints")
 	c.leaving, c.leftAlone = endpoints.Counter("leaving_stated"), endpoints.Counter("left_alone")
+	c.limited = endpoints.Counter("limits_stated")
 	for reason := range c.excluded {
 		c.excluded[reason] = endpoints.Tagged(map[string]string{"reason": lavfleet.Reason(reason).String()}).Counter("excluded")
 	}
