--- a/lavhost/crash_test.go
+++ b/lavhost/crash_test.go
@@ -36,7 +36,7 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				l := startCrashLoad(t, 1)
+				l := startPromptLoad(t, 1)
 				l.play(soundPhase)
 				began := time.Now()
 				var segments []string
@@ -79,7 +79,7 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				l := startCrashLoad(t, 3)
+				l := startPromptLoad(t, 3)
 				copied = l.fleet.store.Copy()
 				if test.before != nil {
 					test.before(l.fleet)
@@ -105,7 +105,7 @@
 func TestSoundRequestsSurviveOtherCrashes(t *testing.T) {
 	const crashes = 6
 	synctest.Test(t, func(t *testing.T) {
-		l := startCrashLoad(t, 2)
+		l := startPromptLoad(t, 2)
 		l.play(soundPhase)
 		began := time.Now()
 		l.callers.Go(func() {
--- a/lavhost/leaving_test.go
+++ b/lavhost/leaving_test.go
@@ -40,8 +40,8 @@
 		returnTime = time.Second
 	)
 	synctest.Test(t, func(t *testing.T) {
-		l := startCrashLoad(t, 4)
-		at := crashLoadEndpoint(0)
+		l := startPromptLoad(t, 4)
+		at := promptLoadEndpoint(0)
 		l.play(soundPhase)
 		share := l.endpoints.Served(at, time.Now().Add(-soundPhase), time.Now())
 		lavassert.AtLeast(t, "streams of the endpoint before", share, 1)
--- a/lavhost/crashload_test.go
+++ b/lavhost/promptload_test.go
@@ -17,13 +17,13 @@
 
 // Size of a crash load, and rates of its requests.
 const (
-	crashLoadHosts      = 6
-	crashLoadEndpoints  = 16
-	crashLoadSegments   = 60
+	promptLoadHosts     = 6
+	promptLoadEndpoints = 16
+	promptLoadSegments  = 60
 	soundRequestsPerS   = 40
 	crashingPerS        = 8
 	callerRetryDelay    = 200 * time.Millisecond
-	crashLoadSettle     = 3 * time.Second
+	promptLoadSettle    = 3 * time.Second
 	soundPhase          = 10 * time.Second
 	crashingPhase       = 20 * time.Second
 	contactTime         = 3 * time.Second
@@ -37,42 +37,56 @@
 	begun bool
 }
 
-// crashLoad sends prompts to all hosts of an emulated fleet, and sees what becomes of them.
-type crashLoad struct {
+// promptLoad sends prompts to all hosts of an emulated fleet, and sees what becomes of them.
+type promptLoad struct {
 	fleet     *emulatedFleet
-	endpoints *standin.CrashingEndpoints
+	endpoints *standin.StreamEndpoints
 	callers   sync.WaitGroup
+	// hosts is how many of the hosts receive prompts: those with the lowest indexes.
+	hosts int
+	// rate is the number of sound prompts a second.
+	rate float64
 
 	mu       sync.Mutex
 	random   *rand.Rand
 	attempts []soundAttempt
+	// longestRefusal is the longest time until a refusal.
+	longestRefusal time.Duration
 	// requests counts the requests, for their IDs.
 	requests int
 }
 
-// startCrashLoad starts a fleet before endpoints that no segment crashes yet. It must be called
+// startPromptLoad starts a fleet before endpoints that no segment crashes yet. It must be called
 // in a synctest bubble. The caller must call end.
-func startCrashLoad(t *testing.T, seed uint64) *crashLoad {
+func startPromptLoad(t *testing.T, seed uint64) *promptLoad {
+	t.Helper()
+	return startPromptLoadOn(t, seed, promptLoadHosts)
+}
+
+// startPromptLoadOn is startPromptLoad for a number of hosts.
+func startPromptLoadOn(t *testing.T, seed uint64, hosts int) *promptLoad {
 	t.Helper()
 	store, endpoints := standin.NewStore(), standin.NewEndpoints()
-	l := &crashLoad{
-		endpoints: standin.NewCrashingEndpoints(endpoints, store, "s"),
+	l := &promptLoad{
+		endpoints: standin.NewStreamEndpoints(endpoints, store, "s"),
 		random:    rand.New(rand.NewPCG(seed, 1)),
+		hosts:     hosts,
+		rate:      soundRequestsPerS,
 	}
-	for i := range crashLoadEndpoints {
-		l.endpoints.Start(crashLoadEndpoint(i), emulatedDomain(i))
+	for i := range promptLoadEndpoints {
+		l.endpoints.Start(promptLoadEndpoint(i), emulatedDomain(i))
 	}
-	l.fleet = startFleetWith(t, crashLoadHosts, store, endpoints.Dial)
-	time.Sleep(crashLoadSettle)
+	l.fleet = startFleetWith(t, hosts, store, endpoints.Dial)
+	time.Sleep(promptLoadSettle)
 	return l
 }
 
-func crashLoadEndpoint(i int) netip.AddrPort {
+func promptLoadEndpoint(i int) netip.AddrPort {
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 100, 0, byte(1 + i)}), 80)
 }
 
 // end waits for all callers and ends the fleet.
-func (l *crashLoad) end(t *testing.T) {
+func (l *promptLoad) end(t *testing.T) {
 	t.Helper()
 	l.endpoints.SetSegments()
 	l.callers.Wait()
@@ -84,7 +98,7 @@
 }
 
 // draw returns a random number in [0, 1).
-func (l *crashLoad) draw() float64 {
+func (l *promptLoad) draw() float64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.random.Float64()
@@ -92,21 +106,21 @@
 
 // segment returns a random segment that sound prompts share. Some are far more frequent than
 // others.
-func (l *crashLoad) segment(kind string) string {
+func (l *promptLoad) segment(kind string) string {
 	u := l.draw()
-	return fmt.Sprint(kind, int(u*u*crashLoadSegments))
+	return fmt.Sprint(kind, int(u*u*promptLoadSegments))
 }
 
 // play sends sound prompts for a time, and with them prompts that have one of the given
 // segments in place of their first or second one.
-func (l *crashLoad) play(span time.Duration, crashing ...crashingPrompt) {
+func (l *promptLoad) play(span time.Duration, crashing ...crashingPrompt) {
 	end := time.Now().Add(span)
-	rate := soundRequestsPerS + crashingPerS*float64(len(crashing))
+	rate := l.rate + crashingPerS*float64(len(crashing))
 	for time.Now().Before(end) {
 		time.Sleep(time.Duration(-math.Log(1-l.draw()) / rate * float64(time.Second)))
 		first, second := l.segment("a"), l.segment("b")
-		i := int(l.draw()*rate-soundRequestsPerS) / crashingPerS
-		sound := l.draw()*rate < soundRequestsPerS || len(crashing) == 0
+		i := int(l.draw()*rate-l.rate) / crashingPerS
+		sound := l.draw()*rate < l.rate || len(crashing) == 0
 		if !sound {
 			c := crashing[max(i, 0)%len(crashing)]
 			if c.first {
@@ -126,7 +140,7 @@
 }
 
 // call sends a prompt, and once more if it fails.
-func (l *crashLoad) call(sound bool, first, second string) {
+func (l *promptLoad) call(sound bool, first, second string) {
 	l.mu.Lock()
 	l.requests++
 	own := fmt.Sprint("own", l.requests)
@@ -147,8 +161,8 @@
 
 // send sends a prompt to a random host, and reports whether it was answered and whether the
 // answer has begun.
-func (l *crashLoad) send(own string, attempt int, first, second string) (done, begun bool) {
-	h := l.fleet.host(int(l.draw() * crashLoadHosts))
+func (l *promptLoad) send(own string, attempt int, first, second string) (done, begun bool) {
+	h := l.fleet.host(int(l.draw() * float64(l.hosts)))
 	out := httptest.NewRecorder()
 	defer func() {
 		// The host aborts a stream that it can't complete.
@@ -156,14 +170,20 @@
 			done, begun = false, out.Body.Len() > 0
 		}
 	}()
+	sentAt := time.Now()
 	h.ingress.ServeHTTP(out, standin.NewPrompt(fmt.Sprint(own, "-", attempt), first, second, own))
 	done = out.Code == http.StatusOK
+	if out.Code == http.StatusServiceUnavailable {
+		l.mu.Lock()
+		l.longestRefusal = max(l.longestRefusal, time.Since(sentAt))
+		l.mu.Unlock()
+	}
 	return done, done && out.Body.Len() > 0
 }
 
 // begunShare returns the share of sound requests, sent from one time on until another, that
 // began at the first attempt.
-func (l *crashLoad) begunShare(from, until time.Time) float64 {
+func (l *promptLoad) begunShare(from, until time.Time) float64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	begun, all := 0, 0
@@ -183,7 +203,7 @@
 }
 
 // countArrivals returns how many requests that crash endpoints have arrived since a time.
-func (l *crashLoad) countArrivals(since time.Time) int {
+func (l *promptLoad) countArrivals(since time.Time) int {
 	count := 0
 	for _, at := range l.endpoints.Arrivals() {
 		if at.After(since) {
@@ -195,7 +215,7 @@
 
 // assertStopped checks that a number of segments stopped crashing endpoints soon after each
 // had crashed maxCrashesUnstopped, and that sound requests are served again.
-func (l *crashLoad) assertStopped(t *testing.T, segments int, began time.Time) {
+func (l *promptLoad) assertStopped(t *testing.T, segments int, began time.Time) {
 	t.Helper()
 	crashes := l.endpoints.Crashes()
 	lavassert.AtLeast(t, "crashes", len(crashes), 1)
