Divide the limit that an endpoint states among the hosts by permits

No host read the statement, and nothing could have kept a rate of 1 a second over six hosts or 300: the shares of cold endpoints are divided by the number of hosts and rounded up.

A statement is now kept for the endpoint's incarnation, told to the peers when it changes, and given to hosts that join. One host for each endpoint, by rendezvous hash, hands out permits for requests (lavpermit): any span gets at most rate * (span + 0.25 s) + 1, which tests check with random askers. Permits end 1.5 s after they were asked for, so that hosts which die take nothing with them. A holder hands out only the share of the hosts that it reaches, so that parts of a fleet that are cut off from each other stay within the whole. Requests wait for permits by priority and by when they are due, if these are expected in time, and are refused at once if not.

--- a/lavdatagram/kind_string.go
+++ b/lavdatagram/kind_string.go
@@ -11,11 +11,13 @@
 	_ = x[kindNone-0]
 	_ = x[KindWork-1]
 	_ = x[KindTotals-2]
+	_ = x[KindPermitRequest-3]
+	_ = x[KindPermitResponse-4]
 }
 
-const _Kind_name = "kindNoneWorkTotals"
+const _Kind_name = "kindNoneWorkTotalsPermitRequestPermitResponse"
 
-var _Kind_index = [...]uint8{0, 8, 12, 18}
+var _Kind_index = [...]uint8{0, 8, 12, 18, 31, 45}
 
 func (i Kind) String() string {
 	idx := int(i) - 0
--- a/lavdatagram/socket.go
+++ b/lavdatagram/socket.go
@@ -31,6 +31,9 @@
 	KindWork
 	// KindTotals is the sum of the running work over all hosts.
 	KindTotals
+	// KindPermitRequest asks for permits to send requests, and KindPermitResponse grants them.
+	KindPermitRequest
+	KindPermitResponse
 )
 
 // message is the content of a datagram.
--- a/lavfleet/availability.go
+++ b/lavfleet/availability.go
@@ -34,6 +34,9 @@
 	ReasonUnassigned
 	// ReasonRateLimited means that this host has used up its share of these requests.
 	ReasonRateLimited
+	// ReasonLimited means that the endpoint has stated a limit, and this host has no permit
+	// for a request.
+	ReasonLimited
 	reasonEnd
 )
 
@@ -69,6 +72,7 @@
 	leaving bool
 	// aloneUntil is until when this host must send it nothing.
 	aloneUntil time.Time
+	limit      Limit
 }
 
 // RecordLeaving records that an endpoint has stated that it will leave. It returns false if
@@ -104,6 +108,12 @@
 	maps.DeleteFunc(f.statements, func(other lavconfig.Incarnation, s statement) bool {
 		return f.endpoints[other] == nil && now.Sub(s.at) > statementTTL && now.After(s.aloneUntil)
 	})
+	f.limits = 0
+	for _, s := range f.statements {
+		if s.limit.Stated {
+			f.limits++
+		}
+	}
 }
 
 // exclusion returns why an endpoint may receive no new request of any kind, or ReasonNone. The
--- a/lavfleet/fleet.go
+++ b/lavfleet/fleet.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"lavenderrack.example/lavenderrack/lavconfig"
+	"lavenderrack.example/lavenderrack/lavpermit"
 	"lavenderrack.example/lavenderrack/lavplan"
 )
 
@@ -36,6 +37,8 @@
 	services     map[string]*service
 	outOfService map[string]bool
 	statements   map[lavconfig.Incarnation]statement
+	// limits is the number of statements with a limit.
+	limits int
 	// peerReport is the load of all other hosts, received at peerReportAt.
 	peerReport   Report
 	peerReportAt time.Time
@@ -44,8 +47,9 @@
 	hosts, index int
 	// startedAt is when this host began to count.
 	startedAt time.Time
-	// changed signals changes that peers should learn of at once.
-	changed chan struct{}
+	// changed signals changes that peers should learn of at once, and permitsNeeded that
+	// requests lack permits.
+	changed, permitsNeeded chan struct{}
 }
 
 // service holds a service and its endpoints, ordered by ID.
@@ -53,6 +57,10 @@
 	lavconfig.Service
 	endpoints []*endpointState
 	budget    *budget
+	// arrivals are the requests of the last demandWindow, and queue those that wait for an
+	// endpoint.
+	arrivals *window
+	queue    *lavpermit.Queue
 }
 
 // endpointState is an endpoint with its load and health.
@@ -67,6 +75,8 @@
 	sent       window
 	backoff    backoff
 	slowdown   slowdown
+	// stock is the permits for the endpoint, if it has stated a limit.
+	stock lavpermit.Stock
 	// assigned is true if this host may use the endpoint.
 	assigned bool
 }
@@ -90,6 +100,8 @@
 		hosts:        1,
 		startedAt:    time.Now(),
 		changed:      make(chan struct{}, 1),
+
+		permitsNeeded: make(chan struct{}, 1),
 	}
 }
 
@@ -138,11 +150,12 @@
 func (f *Fleet) updateServices(services []lavconfig.Service) {
 	next := make(map[string]*service, len(services))
 	for _, s := range services {
-		b := newBudget(f.startedAt, f.bounds.Retry.Window)
+		svc := &service{budget: newBudget(f.startedAt, f.bounds.Retry.Window), arrivals: &window{span: demandWindow}, queue: &lavpermit.Queue{}}
 		if previous := f.services[s.Name]; previous != nil {
-			b = previous.budget
+			*svc = *previous
 		}
-		next[s.Name] = &service{Service: s, budget: b}
+		svc.Service, svc.endpoints = s, nil
+		next[s.Name] = svc
 	}
 	f.services = next
 }
@@ -241,7 +254,10 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if svc := f.services[name]; svc != nil {
-		svc.budget.requests.add(time.Now())
+		now := time.Now()
+		svc.budget.requests.add(now)
+		svc.arrivals.count(now)
+		svc.arrivals.add(now)
 	}
 }
 
--- a/lavfleet/reason_string.go
+++ b/lavfleet/reason_string.go
@@ -16,12 +16,13 @@
 	_ = x[ReasonTried-5]
 	_ = x[ReasonUnassigned-6]
 	_ = x[ReasonRateLimited-7]
-	_ = x[reasonEnd-8]
+	_ = x[ReasonLimited-8]
+	_ = x[reasonEnd-9]
 }
 
-const _Reason_name = "NoneDrainingEvacuatedLeavingRetryAfterTriedUnassignedRateLimitedreasonEnd"
+const _Reason_name = "NoneDrainingEvacuatedLeavingRetryAfterTriedUnassignedRateLimitedLimitedreasonEnd"
 
-var _Reason_index = [...]uint8{0, 4, 12, 21, 28, 38, 43, 53, 64, 73}
+var _Reason_index = [...]uint8{0, 4, 12, 21, 28, 38, 43, 53, 64, 71, 80}
 
 func (i Reason) String() string {
 	idx := int(i) - 0
--- a/lavfleet/run.go
+++ b/lavfleet/run.go
@@ -24,7 +24,8 @@
 }
 
 // Begin counts a run on its endpoints. The first allocation is for the primary endpoint,
-// which receives the request. Begin returns nil if that endpoint may no longer receive it.
+// which receives the request. Begin returns nil if that endpoint may no longer receive it, or
+// if a permit for one of the endpoints is missing: a part of a prompt needs one like a request.
 func (f *Fleet) Begin(allocations []Allocation) *Run {
 	now := time.Now()
 	f.mu.Lock()
@@ -36,6 +37,9 @@
 	if svc := f.services[primary.Service]; svc != nil && !f.mayBegin(svc, primary, now) {
 		return nil
 	}
+	if !f.takePermits(allocations, now) {
+		return nil
+	}
 	primary.sent.add(now)
 	r := &Run{fleet: f, allocations: allocations}
 	for _, p := range allocations {
--- a/lavfleet/snapshot.go
+++ b/lavfleet/snapshot.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"lavenderrack.example/lavenderrack/lavconfig"
+	"lavenderrack.example/lavenderrack/lavpermit"
 	"lavenderrack.example/lavenderrack/lavplan"
 )
 
@@ -14,8 +15,8 @@
 	Candidates []lavplan.Candidate
 	// Excluded counts the endpoints that were left out.
 	Excluded Exclusions
-	// NextAvailable is when the first of the endpoints that want no requests for a time may
-	// receive one again. It is zero if there is none.
+	// NextAvailable is when the first of the endpoints that want no requests for a time, or
+	// only a limited number, is expected to receive one again. It is zero if there is none.
 	NextAvailable time.Time
 	// Hosts is the number of hosts that may send requests to the service.
 	Hosts int
@@ -26,6 +27,12 @@
 // Snapshot returns the endpoints of a service that may receive a request now, without
 // those for which skip returns true. It returns false for an unknown service.
 func (f *Fleet) Snapshot(name string, skip func(lavconfig.Incarnation) bool) (Snapshot, bool) {
+	return f.SnapshotFor(name, nil, skip)
+}
+
+// SnapshotFor is Snapshot for a request that may have to wait for a permit. The requests that come
+// before it use permits first.
+func (f *Fleet) SnapshotFor(name string, w *lavpermit.Waiting, skip func(lavconfig.Incarnation) bool) (Snapshot, bool) {
 	now := time.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -36,6 +43,7 @@
 	}
 	b := Snapshot{Service: svc.Service, Hosts: f.hosts, Age: now.Sub(f.peerReportAt)}
 	limit := f.hostLimit(svc)
+	permits := f.permitSupplyFor(svc, w, now)
 	for _, s := range svc.endpoints {
 		reason := f.exclusion(s, now)
 		switch {
@@ -46,9 +54,11 @@
 			reason = ReasonUnassigned
 		case s.sent.count(now) >= limit:
 			reason = ReasonRateLimited
+		case f.limitOf(s).Stated && (!permits.usable() || s.stock.Count(now) == 0):
+			reason = ReasonLimited
 		}
 		if reason != ReasonNone {
-			b.exclude(reason, f.statements[s.Incarnation()].aloneUntil)
+			b.exclude(reason, f.statements[s.Incarnation()].aloneUntil, now.Add(permits.wait()))
 			continue
 		}
 		b.Endpoints = append(b.Endpoints, s.Endpoint)
@@ -61,20 +71,32 @@
 			InBackoff: s.backoff.active(now),
 		})
 	}
+	if b.Excluded[ReasonLimited] > 0 {
+		f.requestPermits()
+	}
 	return b, true
 }
 
-// exclude counts an endpoint that was left out. It wants no requests until aloneUntil, if that
-// is the reason.
-func (b *Snapshot) exclude(reason Reason, aloneUntil time.Time) {
+// exclude counts an endpoint that was left out. It wants no requests until aloneUntil, or the
+// request has no permit until permitAt, if that is the reason.
+func (b *Snapshot) exclude(reason Reason, aloneUntil, permitAt time.Time) {
 	b.Excluded[reason]++
-	if reason == ReasonRetryAfter && (b.NextAvailable.IsZero() || aloneUntil.Before(b.NextAvailable)) {
-		b.NextAvailable = aloneUntil
+	var available time.Time
+	switch reason {
+	case ReasonRetryAfter:
+		available = aloneUntil
+	case ReasonLimited:
+		available = permitAt
+	default:
+		return
+	}
+	if b.NextAvailable.IsZero() || available.Before(b.NextAvailable) {
+		b.NextAvailable = available
 	}
 }
 
-// UntilAvailable returns the time until the first endpoint that wants no requests may receive
-// one again, zero if there is none.
+// UntilAvailable returns the time until the first endpoint that was left out for a limited time may
+// receive a request again, zero if there is none.
 func (b *Snapshot) UntilAvailable() time.Duration {
 	if b.NextAvailable.IsZero() {
 		return 0
@@ -83,8 +105,8 @@
 }
 
 // AvailableBy reports whether an endpoint that was left out for a limited time may be available
-// before a time: one that wants no requests until then, or one of which this host has used up
-// its share, which is for a short time.
+// before a time: one that wants no requests until then, one for which a permit is expected, or one
+// of which this host has used up its share, which is for a short time.
 func (b *Snapshot) AvailableBy(at time.Time) bool {
 	return b.Excluded[ReasonRateLimited] > 0 || !b.NextAvailable.IsZero() && b.NextAvailable.Before(at)
 }
--- a/lavhost/host.go
+++ b/lavhost/host.go
@@ -70,6 +70,7 @@
 	peers        *peers
 	socket       *lavdatagram.Socket
 	loadExchange *loadExchange
+	permits      *permitExchange
 	mesh         *lavmesh.Mesh
 	pool         *lavconn.Pool
 	fleet        *lavfleet.Fleet
@@ -132,11 +133,14 @@
 	h.peers.follower = h.follower
 	h.socket = lavdatagram.New(h.deps.Datagrams, h.deps.Scope)
 	h.loadExchange = newLoadExchange(h.socket, h.fleet, h.peers, h.deps.Logger)
+	h.permits = newPermitExchange(h.socket, h.fleet, h.peers, h.deps.Logger)
 	h.mesh.Handle(lavmesh.TopicBeat, h.peers.handleHeartbeat)
 	h.mesh.Handle(lavmesh.TopicSuspicion, h.peers.handleSuspicion)
 	h.mesh.Handle(lavmesh.TopicNews, h.peers.handleUpdate)
 	h.mesh.Handle(lavmesh.TopicEntries, h.peers.handleStateRequest)
 	h.mesh.Handle(lavmesh.TopicLeaving, h.peers.handleLeaving)
+	h.mesh.Handle(lavmesh.TopicLimit, h.peers.handleLimit)
+	h.mesh.Handle(lavmesh.TopicStatements, h.peers.handleStatementsRequest)
 }
 
 func (h *Host) initIngress() {
@@ -145,7 +149,7 @@
 	h.state.mergeBlock = h.crashes.mergeStored
 	h.peers.crashes = h.crashes
 	relay := lavrelay.New(h.pool, h.fleet, h.confirmation, h.crashes, h.deps.Logger, h.deps.Scope, rand.Float64)
-	relay.NotifyLeaving(h.peers.broadcastLeaving)
+	relay.SetPeers(h.peers)
 	relay.LimitReservationLease(h.settings.Bounds.MaxReservationLease)
 	h.ingress = &ingress{
 		state:        h.state,
@@ -175,6 +179,7 @@
 	supervisor.Add(h.peers)
 	supervisor.Add(h.socket)
 	supervisor.Add(h.loadExchange)
+	supervisor.Add(h.permits)
 	supervisor.Add(aggregator{h.loadExchange})
 	supervisor.Add(h.mesh)
 	supervisor.Add(&membership{leases: h.deps.Store, peers: h.peers, logger: h.deps.Logger})
--- a/lavhost/peers.go
+++ b/lavhost/peers.go
@@ -89,6 +89,9 @@
 	// began to join the others.
 	lastContact time.Time
 	joinedAt    time.Time
+	// statementsSyncedFor is the joinedAt after which this host has last requested the
+	// statements of endpoints.
+	statementsSyncedFor time.Time
 	// mustAnnounce is true if a heartbeat is due for another reason than time.
 	mustAnnounce bool
 }
@@ -216,6 +219,30 @@
 	p.announce()
 }
 
+// reachableShare returns the share of the hosts that this host counts as alive, of those that have
+// been alive lately and have not left. A host that hands out what all may take together hands out
+// only this share of it, so that parts of the fleet which are cut off from each other stay within
+// the whole. It returns false for a host that has joined the others too lately to hand out anything.
+func (p *peers) reachableShare() (share float64, ok bool) {
+	now := time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.joinedAt.IsZero() && now.Sub(p.joinedAt) < holderDelay {
+		return 0, false
+	}
+	known := make(map[string]bool)
+	for _, m := range p.view.Members {
+		known[m.Host] = true
+	}
+	alive := len(known)
+	for _, other := range p.byIncarnation {
+		if !other.member.Leaving {
+			known[other.member.Host] = true
+		}
+	}
+	return float64(alive) / float64(len(known)), true
+}
+
 // addStoreMembers adds the members that the store lists. It doesn't overwrite
 // the member entry of a peer that has sent heartbeats.
 func (p *peers) addStoreMembers() {
--- a/lavhost/peerservice.go
+++ b/lavhost/peerservice.go
@@ -21,6 +21,7 @@
 			p.sendHeartbeat()
 		}
 		p.syncFromPeer(ctx)
+		p.syncStatements(ctx)
 	}
 	return ctx.Err()
 }
--- /dev/null
+++ b/lavhost/permitexchange.go
@@ -0,0 +1,222 @@
+package lavhost
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"lavenderrack.example/lavenderrack/lavconfig"
+	"lavenderrack.example/lavenderrack/lavdatagram"
+	"lavenderrack.example/lavenderrack/lavfleet"
+	"lavenderrack.example/lavenderrack/lavmember"
+	"lavenderrack.example/lavenderrack/lavpause"
+	"lavenderrack.example/lavenderrack/lavpermit"
+
+	"github.com/phuslu/log"
+)
+
+const (
+	// maxPermitAsks bounds the bounds for which a host asks at a time, and permitRoundTime is
+	// the time between two rounds. They bound the traffic of a host, however many endpoints
+	// state limits.
+	maxPermitAsks   = 16
+	permitRoundTime = lavpermit.MinAskInterval / 2
+	// holderDelay is how long after it has joined the others a host hands out no permits, since
+	// the previous holder may not know it yet.
+	holderDelay = 2 * time.Second
+)
+
+// permitExchange gets permits for the endpoints that have stated limits, and hands out those of
+// which this host is the holder.
+type permitExchange struct {
+	socket *lavdatagram.Socket
+	fleet  *lavfleet.Fleet
+	peers  *peers
+	logger *log.Logger
+
+	mu        sync.Mutex
+	allocator *lavpermit.Allocator[boundID]
+	limits    map[boundID]lavfleet.Limit
+	// number is that of the last request, and open the requests without a response.
+	number uint64
+	open   map[uint64]openPermitRequest
+}
+
+// openPermitRequest is a request that was sent at a time.
+type openPermitRequest struct {
+	sentAt time.Time
+	lives  map[boundID]lavconfig.Incarnation
+}
+
+func newPermitExchange(socket *lavdatagram.Socket, fleet *lavfleet.Fleet, p *peers, logger *log.Logger) *permitExchange {
+	e := &permitExchange{
+		socket:    socket,
+		fleet:     fleet,
+		peers:     p,
+		logger:    logger,
+		allocator: lavpermit.NewAllocator[boundID](),
+		limits:    make(map[boundID]lavfleet.Limit),
+		open:      make(map[uint64]openPermitRequest),
+	}
+	socket.Handle(lavdatagram.KindPermitRequest, e.handleRequest)
+	socket.Handle(lavdatagram.KindPermitResponse, e.handleResponse)
+	return e
+}
+
+// Serve implements suture.Service. It asks for permits while requests need some.
+func (e *permitExchange) Serve(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-e.fleet.PermitsNeeded():
+		}
+		for e.ask() && ctx.Err() == nil {
+			e.pause(ctx)
+		}
+		e.pause(ctx)
+	}
+}
+
+// pause waits for a round. Its length varies, so that the same host doesn't always come first.
+func (e *permitExchange) pause(ctx context.Context) {
+	_ = lavpause.For(ctx, permitRoundTime/2+rand.N(permitRoundTime))
+}
+
+// ask asks the holders for the permits that requests need, and reports whether there were any.
+func (e *permitExchange) ask() bool {
+	asks := e.fleet.PermitAsks(maxPermitAsks)
+	view := e.peers.View()
+	byHolder := make(map[lavmember.Member][]lavfleet.PermitAsk)
+	for _, a := range asks {
+		if holder, ok := lavmember.Owner(view, newBoundID(a.Life).ownerKey()); ok {
+			byHolder[holder] = append(byHolder[holder], a)
+		}
+	}
+	for holder, asks := range byHolder {
+		e.askHolder(holder, asks)
+	}
+	return len(asks) > 0
+}
+
+// askHolder asks one holder, which may be this host.
+func (e *permitExchange) askHolder(holder lavmember.Member, asks []lavfleet.PermitAsk) {
+	r := e.newRequest(asks)
+	if holder.Incarnation == r.Host {
+		e.accept(e.grant(r))
+		return
+	}
+	e.send(holder, lavdatagram.KindPermitRequest, r)
+}
+
+// newRequest returns a request, and remembers it until it is answered or permits would have expired.
+func (e *permitExchange) newRequest(asks []lavfleet.PermitAsk) permitRequest {
+	now := time.Now()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for number, r := range e.open {
+		if now.Sub(r.sentAt) > lavpermit.PermitTTL {
+			delete(e.open, number)
+		}
+	}
+	e.number++
+	open := openPermitRequest{sentAt: now, lives: make(map[boundID]lavconfig.Incarnation, len(asks))}
+	r := permitRequest{Number: e.number, Host: e.peers.Self().Incarnation}
+	for _, a := range asks {
+		bound := newBoundID(a.Life)
+		open.lives[bound] = a.Life
+		r.Items = append(r.Items, permitItem{Bound: bound, PerSecond: a.Limit.PerSecond, Age: now.Sub(a.Limit.At), Permits: a.Permits})
+	}
+	e.open[e.number] = open
+	return r
+}
+
+// handleRequest answers a host that takes this one for the holder.
+func (e *permitExchange) handleRequest(body []byte) {
+	var r permitRequest
+	if err := lavdatagram.Decode(body, &r); err != nil {
+		e.logger.Warn().Err(err).Msg("ignoring invalid request for permits")
+		return
+	}
+	if asker, ok := e.peers.View().Member(r.Host); ok {
+		e.send(asker, lavdatagram.KindPermitResponse, e.grant(r))
+	}
+}
+
+// grant returns the permits for a request. It leaves out the bounds that this host doesn't hold.
+func (e *permitExchange) grant(r permitRequest) permitResponse {
+	response := permitResponse{Number: r.Number}
+	share, ok := e.peers.reachableShare()
+	if !ok {
+		return response
+	}
+	now := time.Now()
+	view, self := e.peers.View(), e.peers.Self().Incarnation
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, item := range r.Items {
+		if holder, _ := lavmember.Owner(view, item.Bound.ownerKey()); holder.Incarnation != self {
+			continue
+		}
+		perSecond := e.latestLimit(now, item) * share
+		g := e.allocator.Grant(now, item.Bound, perSecond, r.Host, item.Permits)
+		response.Items = append(response.Items, grantItem{Bound: item.Bound, Permits: g.Permits, Interval: g.Interval, AskAfter: g.AskAfter})
+	}
+	return response
+}
+
+// limitTTL is how long a holder remembers the limit that a host has named in a request.
+const limitTTL = time.Minute
+
+// latestLimit returns the limit that was stated last, of those that hosts have named in requests. The
+// caller holds the lock.
+func (e *permitExchange) latestLimit(now time.Time, item permitItem) float64 {
+	named := lavfleet.Limit{Stated: true, PerSecond: item.PerSecond, At: now.Add(-item.Age)}
+	if named.At.After(e.limits[item.Bound].At) {
+		e.limits[item.Bound] = named
+		for bound, l := range e.limits {
+			if now.Sub(l.At) > limitTTL && bound != item.Bound {
+				delete(e.limits, bound)
+			}
+		}
+	}
+	return e.limits[item.Bound].PerSecond
+}
+
+// handleResponse accepts a holder's response.
+func (e *permitExchange) handleResponse(body []byte) {
+	var r permitResponse
+	if err := lavdatagram.Decode(body, &r); err != nil {
+		e.logger.Warn().Err(err).Msg("ignoring invalid permits")
+		return
+	}
+	e.accept(r)
+}
+
+// accept adds the permits of the first response to a request.
+func (e *permitExchange) accept(r permitResponse) {
+	e.mu.Lock()
+	open, ok := e.open[r.Number]
+	delete(e.open, r.Number)
+	e.mu.Unlock()
+	if !ok {
+		return
+	}
+	for _, item := range r.Items {
+		if life, asked := open.lives[item.Bound]; asked {
+			e.fleet.AddPermits(life, open.sentAt, item.grant())
+		}
+	}
+}
+
+func (e *permitExchange) send(to lavmember.Member, kind lavdatagram.Kind, message any) {
+	data, err := lavdatagram.Encode(kind, message)
+	if err != nil {
+		e.logger.Error().Err(err).Msg("failed to encode a message about permits")
+		return
+	}
+	if to.Datagrams.IsValid() {
+		e.socket.Send(to.Datagrams, data)
+	}
+}
--- /dev/null
+++ b/lavhost/permitmessages.go
@@ -0,0 +1,59 @@
+package lavhost
+
+import (
+	"fmt"
+	"time"
+
+	"lavenderrack.example/lavenderrack/lavconfig"
+	"lavenderrack.example/lavenderrack/lavpermit"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// boundID identifies what the permits of one endpoint are for.
+type boundID uint64
+
+func newBoundID(life lavconfig.Incarnation) boundID {
+	return boundID(xxhash.Sum64String(fmt.Sprint(life.ID, "/", life.StartedAt)))
+}
+
+// ownerKey is the name by which the holder of a bound is chosen. All hosts of a fleet must use the
+// same text.
+func (b boundID) ownerKey() string { return fmt.Sprintf("permits %x", uint64(b)) }
+
+// permitRequest asks the holder of some bounds for permits.
+type permitRequest struct {
+	// Number identifies the request, and Host, an incarnation, its sender.
+	Number uint64       `cbor:"1,keyasint"`
+	Host   string       `cbor:"2,keyasint"`
+	Items  []permitItem `cbor:"3,keyasint"`
+}
+
+// permitItem asks for permits of one bound.
+type permitItem struct {
+	_     struct{} `cbor:",toarray"`
+	Bound boundID
+	// PerSecond is the limit that the sender knows, and Age the time since it was stated.
+	PerSecond float64
+	Age       time.Duration
+	Permits   int
+}
+
+// permitResponse answers the request with the same number.
+type permitResponse struct {
+	Number uint64      `cbor:"1,keyasint"`
+	Items  []grantItem `cbor:"2,keyasint"`
+}
+
+// grantItem is the grant for one bound.
+type grantItem struct {
+	_        struct{} `cbor:",toarray"`
+	Bound    boundID
+	Permits  int
+	Interval time.Duration
+	AskAfter time.Duration
+}
+
+func (g grantItem) grant() lavpermit.Grant {
+	return lavpermit.Grant{Permits: g.Permits, Interval: g.Interval, AskAfter: g.AskAfter}
+}
--- a/lavhost/leaving_test.go
+++ b/lavhost/statements_test.go
@@ -20,7 +20,7 @@
 		lavassert.Equal(t, "endpoints before", len(first.Endpoints), 3)
 		life := first.Endpoints[0].Incarnation()
 		f.hosts[0].fleet.RecordLeaving(life)
-		f.hosts[0].peers.broadcastLeaving(life)
+		f.hosts[0].peers.TellLeaving(life)
 		time.Sleep(time.Second)
 		for _, h := range f.hosts {
 			b, _ := h.fleet.Snapshot("s", func(lavconfig.Incarnation) bool { return false })
--- a/lavmesh/message.go
+++ b/lavmesh/message.go
@@ -51,6 +51,10 @@
 	TopicCrash
 	// TopicLeaving broadcasts that an endpoint has stated that it will leave.
 	TopicLeaving
+	// TopicLimit broadcasts the limit that an endpoint has stated.
+	TopicLimit
+	// TopicStatements requests what endpoints have stated.
+	TopicStatements
 	topicEnd
 )
 
--- a/lavmesh/topic_string.go
+++ b/lavmesh/topic_string.go
@@ -27,12 +27,14 @@
 	_ = x[TopicSuspicion-16]
 	_ = x[TopicCrash-17]
 	_ = x[TopicLeaving-18]
-	_ = x[topicEnd-19]
+	_ = x[TopicLimit-19]
+	_ = x[TopicStatements-20]
+	_ = x[topicEnd-21]
 }
 
-const _Topic_name = "topicNonePingReleaseCreditLoadQuarantineLedgerBurnReleasePullMemberViewOwnerCacheBeatNewsEntriesSuspicionCrashLeavingtopicEnd"
+const _Topic_name = "topicNonePingReleaseCreditLoadQuarantineLedgerBurnReleasePullMemberViewOwnerCacheBeatNewsEntriesSuspicionCrashLeavingLimitStatementstopicEnd"
 
-var _Topic_index = [...]uint8{0, 9, 13, 20, 26, 30, 40, 46, 50, 61, 67, 71, 76, 81, 85, 89, 96, 105, 110, 117, 125}
+var _Topic_index = [...]uint8{0, 9, 13, 20, 26, 30, 40, 46, 50, 61, 67, 71, 76, 81, 85, 89, 96, 105, 110, 117, 122, 132, 140}
 
 func (i Topic) String() string {
 	idx := int(i) - 0
--- a/lavrelay/attempt.go
+++ b/lavrelay/attempt.go
@@ -39,6 +39,7 @@
 	head := platform.DecodeResponse(response.Status, response.Header)
 	t.trace.recordResponse(response, head)
 	t.relay.recordStatements(c.endpoint, head)
+	t.relay.recordNoLimit(c.endpoint, response.Status, head, sentAt)
 	if head.NotRun {
 		response.Discard(head.IdleTimeout)
 		t.recordRefusal(c, head)
--- a/lavrelay/placement.go
+++ b/lavrelay/placement.go
@@ -6,6 +6,7 @@
 
 	"lavenderrack.example/lavenderrack/lavconfig"
 	"lavenderrack.example/lavenderrack/lavfleet"
+	"lavenderrack.example/lavenderrack/lavpermit"
 	"lavenderrack.example/lavenderrack/lavplan"
 )
 
@@ -37,8 +38,15 @@
 	start := time.Now()
 	availableWaitEnd := start.Add(time.Duration(float64(t.call.Route.Objective) * availableWaitFraction))
 	lateWaitEnd := t.call.Arrived.Add(t.call.Prompt.AbandonAfter() / 2)
+	waiting := &lavpermit.Waiting{Priority: t.call.Prompt.Priority(), Due: t.call.Arrived.Add(t.call.Route.Objective)}
+	queued := false
+	defer func() {
+		if queued {
+			t.relay.fleet.Dequeue(t.call.Service, waiting)
+		}
+	}()
 	for {
-		snapshot, ok := t.relay.fleet.Snapshot(t.call.Service, func(l lavconfig.Incarnation) bool { return t.tried[l] })
+		snapshot, ok := t.relay.fleet.SnapshotFor(t.call.Service, waiting, func(l lavconfig.Incarnation) bool { return t.tried[l] })
 		if !ok {
 			return nil, OutcomeNoEndpoint
 		}
@@ -55,6 +63,10 @@
 			t.retryAfter = lavplan.RetryAfter(snapshot.Candidates, snapshot.UntilAvailable(), t.relay.draw)
 			return nil, OutcomeFull
 		}
+		if !ok && !queued {
+			t.relay.fleet.Enqueue(t.call.Service, waiting)
+			queued = true
+		}
 		select {
 		case <-ctx.Done():
 			return nil, OutcomeFull
--- a/lavrelay/relay.go
+++ b/lavrelay/relay.go
@@ -44,9 +44,8 @@
 	suspects  Suspects
 	logger    *log.Logger
 	draw      func() float64
-	// tellLeaving tells the peers that an endpoint will leave.
-	tellLeaving LeaveFunc
-	metrics     metrics
+	peers     Peers
+	metrics   metrics
 	// buffers is what responses may still buffer.
 	buffers byteBudget
 	// reservationLease is the lease duration that is requested for reservations, in
@@ -69,9 +68,8 @@
 		suspects:  suspects,
 		logger:    logger,
 		draw:      draw,
+		peers:     noPeers{},
 		metrics:   newMetrics(scope),
-
-		tellLeaving: func(lavconfig.Incarnation) {},
 	}
 	r.reservationLease.Store(int64(reservationLease))
 	r.buffers.add(maxTotalBuffered)
@@ -88,9 +86,9 @@
 	r.reservationLease.Store(int64(lease))
 }
 
-// NotifyLeaving sets the function that tells the peers of endpoints that will leave. It must be
-// called before the first call is served.
-func (r *Relay) NotifyLeaving(tell LeaveFunc) { r.tellLeaving = tell }
+// SetPeers sets the peers that are told what endpoints state. It must be called before the first
+// call is served.
+func (r *Relay) SetPeers(p Peers) { r.peers = p }
 
 // Serve answers a call. It panics with http.ErrAbortHandler to abort the connection if the
 // caller has received a part of a response that can't be completed.
