--- a/lavfleet/permits.go
+++ b/lavfleet/permits.go
@@ -9,13 +9,9 @@
 	"lavenderrack.example/lavenderrack/lavpermit"
 )
 
-const (
-	// demandWindow is the period over which requests to a service are counted, to know how
-	// many permits to ask for.
-	demandWindow = time.Second
-	// firstGrantTime is when the first permit for an endpoint is expected.
-	firstGrantTime = 2 * lavpermit.MinAskInterval
-)
+// demandWindow is the period over which requests to a service are counted, to know how many permits
+// to ask for.
+const demandWindow = time.Second
 
 // PermitAsk says how many permits this host needs for an endpoint.
 type PermitAsk struct {
@@ -130,9 +126,8 @@
 // permitSupply is what a request may expect of the permits for a service.
 type permitSupply struct {
 	held, ahead int
-	// perSecond is the rate of further permits. It isn't known if unknown is true.
+	// perSecond is the rate of further permits.
 	perSecond float64
-	unknown   bool
 }
 
 // permitSupplyFor returns the supply for a request, which other requests may come before. The
@@ -146,8 +141,10 @@
 	}
 	for _, s := range limited {
 		perSecond, known := s.stock.PerSecond()
+		if !known {
+			perSecond = max(f.limitOf(s).PerSecond, lavpermit.MinPerSecond)
+		}
 		p.perSecond += perSecond
-		p.unknown = p.unknown || !known
 	}
 	return p
 }
@@ -157,8 +154,8 @@
 
 // wait returns the expected time until the request gets a permit.
 func (p permitSupply) wait() time.Duration {
-	if p.unknown || p.perSecond <= 0 {
-		return firstGrantTime
+	if p.perSecond <= 0 {
+		return 0
 	}
 	lacking := max(p.ahead+1-p.held, 0)
 	return time.Duration(float64(lacking) / p.perSecond * float64(time.Second))
