--- a/lavrelay/relay.go
+++ b/lavrelay/relay.go
@@ -48,6 +48,8 @@
 	metrics   metrics
 	// buffers is what responses may still buffer.
 	buffers byteBudget
+	// unknownNames are the names of statements that this version doesn't know.
+	unknownNames sync.Map
 	// reservationLease is the lease duration that is requested for reservations, in
 	// nanoseconds.
 	reservationLease atomic.Int64
--- a/lavrelay/statements.go
+++ b/lavrelay/statements.go
@@ -29,6 +29,7 @@
 	if head.Misdirected {
 		return
 	}
+	r.recordUnknown(e, head.Unknown)
 	life := e.Incarnation()
 	if head.Leaving && r.fleet.RecordLeaving(life) {
 		r.metrics.leaving.Inc(1)
@@ -60,3 +61,13 @@
 		r.peers.TellLimit(e.Incarnation(), limit)
 	}
 }
+
+// recordUnknown counts statements that this version doesn't know, and logs each name once.
+func (r *Relay) recordUnknown(e lavconfig.Endpoint, names []string) {
+	for _, name := range names {
+		r.metrics.unknown.Inc(1)
+		if _, logged := r.unknownNames.LoadOrStore(name, true); !logged {
+			r.logger.Warn().Str("Endpoint", e.ID).Str("Name", name).Msg("endpoint states what this version doesn't know")
+		}
+	}
+}
--- a/lavrelay/trace.go
+++ b/lavrelay/trace.go
@@ -124,6 +124,8 @@
 	// leaving, leftAlone and limited count the statements of endpoints that they will leave,
 	// want no requests for a time, or take a limited number of requests.
 	leaving, leftAlone, limited tally.Counter
+	// unknown counts the statements that this version doesn't know.
+	unknown tally.Counter
 	// excluded counts the endpoints that were left out at the last choice of a call.
 	excluded [len(lavfleet.Exclusions{})]tally.Counter
 }
@@ -147,6 +149,7 @@
 	endpoints := scope.SubScope("endpoints")
 	c.leaving, c.leftAlone = endpoints.Counter("leaving_stated"), endpoints.Counter("left_alone")
 	c.limited = endpoints.Counter("limits_stated")
+	c.unknown = endpoints.Counter("unknown_statements")
 	for reason := range c.excluded {
 		c.excluded[reason] = endpoints.Tagged(map[string]string{"reason": lavfleet.Reason(reason).String()}).Counter("excluded")
 	}
