Keep links on which a newer version sends topics that this one doesn't know

Such messages are now forwarded like others, and calls get an answer that says so. Builds before this one still close the link, and dial again.

--- a/lavmesh/mesh.go
+++ b/lavmesh/mesh.go
@@ -183,6 +183,7 @@
 
 func (m *Mesh) acceptCall(l *link, msg message, handler Handler) {
 	if handler == nil {
+		l.enqueue(message{Version: version, Topic: msg.Topic, Call: msg.Call, Reply: true, Failure: "no handler for " + msg.Topic.String()})
 		return
 	}
 	select {
--- a/lavmesh/message.go
+++ b/lavmesh/message.go
@@ -108,6 +108,8 @@
 // Decode decodes a message body into v.
 func Decode(body []byte, v any) error { return decoding.Unmarshal(body, v) }
 
+// decodeMessage decodes a message. It may have a topic of a newer version of the program, for which
+// there is no handler.
 func decodeMessage(data []byte) (message, error) {
 	var m message
 	if err := decoding.Unmarshal(data, &m); err != nil {
@@ -116,8 +118,8 @@
 	if m.Version != version {
 		return m, errors.Newf("message version %d, want %d", m.Version, version)
 	}
-	if m.Topic <= topicNone || m.Topic >= topicEnd {
-		return m, errors.Newf("unknown topic %d", int(m.Topic))
+	if m.Topic <= topicNone {
+		return m, errors.Newf("invalid topic %d", int(m.Topic))
 	}
 	if m.Hops < 0 || m.Hops > maxHops {
 		return m, errors.Newf("invalid hop count %d", m.Hops)
