Spread the return of callers whom no endpoint took over a time as long as that

Callers came back all at once when a time ended for which all endpoints of a service had wanted no requests: 109 prompts in half a second where 20 are usual, in a new test that plays the load. The random part of Retry-After was half of the time that was left, so that those who were refused last, and with them most, came back within half a second.

--- a/lavfleet/availability.go
+++ b/lavfleet/availability.go
@@ -70,8 +70,8 @@
 	// leaving is true once the endpoint has stated that it will leave. Nothing but its end
 	// revokes that.
 	leaving bool
-	// aloneUntil is until when this host must send it nothing.
-	aloneUntil time.Time
+	// aloneSince and aloneUntil limit the last time for which this host must send it nothing.
+	aloneSince, aloneUntil time.Time
 	limit      Limit
 }
 
@@ -93,7 +93,11 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	s := f.statements[life]
-	if until := time.Now().Add(min(d, maxRetryAfter)); until.After(s.aloneUntil) {
+	now := time.Now()
+	if now.After(s.aloneUntil) {
+		s.aloneSince = now
+	}
+	if until := now.Add(min(d, maxRetryAfter)); until.After(s.aloneUntil) {
 		s.aloneUntil = until
 	}
 	f.putStatement(life, s)
--- a/lavfleet/fleet_test.go
+++ b/lavfleet/fleet_test.go
@@ -266,7 +266,7 @@
 			time.Sleep(2 * time.Second)
 			b, _ := f.Snapshot("m", skipNone)
 			lavassert.Equal(t, "excluded", b.Excluded.String(), "RetryAfter 1")
-			lavassert.Equal(t, "time until available", b.UntilAvailable(), time.Second)
+			lavassert.Equal(t, "time until available", b.Absence().Left, time.Second)
 			lavassert.True(t, "available in time", b.AvailableBy(time.Now().Add(2*time.Second)))
 			lavassert.True(t, "not available in time", !b.AvailableBy(time.Now()))
 			time.Sleep(time.Second)
--- a/lavfleet/snapshot.go
+++ b/lavfleet/snapshot.go
@@ -18,6 +18,9 @@
 	// NextAvailable is when the first of the endpoints that want no requests for a time, or
 	// only a limited number, is expected to receive one again. It is zero if there is none.
 	NextAvailable time.Time
+	// absentSince is since when that endpoint has wanted no requests, zero if it wants a limited
+	// number.
+	absentSince time.Time
 	// Hosts is the number of hosts that may send requests to the service.
 	Hosts int
 	// Age is the time since the last report of the peers' load.
@@ -58,7 +61,7 @@
 			reason = ReasonLimited
 		}
 		if reason != ReasonNone {
-			b.exclude(reason, f.statements[s.Incarnation()].aloneUntil, now.Add(permits.wait()))
+			b.exclude(reason, f.statements[s.Incarnation()], now.Add(permits.wait()))
 			continue
 		}
 		b.Endpoints = append(b.Endpoints, s.Endpoint)
@@ -77,31 +80,35 @@
 	return b, true
 }
 
-// exclude counts an endpoint that was left out. It wants no requests until aloneUntil, or the
-// request has no permit until permitAt, if that is the reason.
-func (b *Snapshot) exclude(reason Reason, aloneUntil, permitAt time.Time) {
+// exclude counts an endpoint that was left out. If the reason is that it lacks a permit, one is
+// expected at permitAt.
+func (b *Snapshot) exclude(reason Reason, stated statement, permitAt time.Time) {
 	b.Excluded[reason]++
-	var available time.Time
+	var since, until time.Time
 	switch reason {
 	case ReasonRetryAfter:
-		available = aloneUntil
+		since, until = stated.aloneSince, stated.aloneUntil
 	case ReasonLimited:
-		available = permitAt
+		until = permitAt
 	default:
 		return
 	}
-	if b.NextAvailable.IsZero() || available.Before(b.NextAvailable) {
-		b.NextAvailable = available
+	if b.NextAvailable.IsZero() || until.Before(b.NextAvailable) {
+		b.absentSince, b.NextAvailable = since, until
 	}
 }
 
-// UntilAvailable returns the time until the first endpoint that was left out for a limited time may
-// receive a request again, zero if there is none.
-func (b *Snapshot) UntilAvailable() time.Duration {
+// Absence returns the time for which no endpoint that was left out may receive a request. Its length
+// is zero if callers don't add up meanwhile, as some are served all the time.
+func (b *Snapshot) Absence() lavplan.Absence {
 	if b.NextAvailable.IsZero() {
-		return 0
+		return lavplan.Absence{}
 	}
-	return time.Until(b.NextAvailable)
+	a := lavplan.Absence{Left: time.Until(b.NextAvailable)}
+	if !b.absentSince.IsZero() {
+		a.Length = b.NextAvailable.Sub(b.absentSince)
+	}
+	return a
 }
 
 // AvailableBy reports whether an endpoint that was left out for a limited time may be available
--- a/lavhost/promptload_test.go
+++ b/lavhost/promptload_test.go
@@ -23,6 +23,7 @@
 	soundRequestsPerS   = 40
 	crashingPerS        = 8
 	callerRetryDelay    = 200 * time.Millisecond
+	maxReturns          = 6
 	promptLoadSettle    = 3 * time.Second
 	soundPhase          = 10 * time.Second
 	crashingPhase       = 20 * time.Second
@@ -52,6 +53,9 @@
 	attempts []soundAttempt
 	// longestRefusal is the longest time until a refusal.
 	longestRefusal time.Duration
+	// sent are the times at which prompts were sent, and refused how many were refused.
+	sent    []time.Time
+	refused int
 	// requests counts the requests, for their IDs.
 	requests int
 }
@@ -146,7 +150,7 @@
 	own := fmt.Sprint("own", l.requests)
 	l.mu.Unlock()
 	at := time.Now()
-	done, begun := l.send(own, 0, first, second)
+	done, begun, _ := l.send(own, 0, first, second)
 	if sound {
 		l.mu.Lock()
 		l.attempts = append(l.attempts, soundAttempt{at: at, begun: begun})
@@ -159,26 +163,68 @@
 	l.send(own, 1, first, second)
 }
 
-// send sends a prompt to a random host, and reports whether it was answered and whether the
-// answer has begun.
-func (l *promptLoad) send(own string, attempt int, first, second string) (done, begun bool) {
+// callUntilServed sends a prompt, and again after the time that each refusal states.
+func (l *promptLoad) callUntilServed() {
+	l.mu.Lock()
+	l.requests++
+	own := fmt.Sprint("own", l.requests)
+	l.mu.Unlock()
+	for attempt := range maxReturns {
+		done, _, retryAfter := l.send(own, attempt, l.segment("a"), l.segment("b"))
+		if done || retryAfter <= 0 {
+			return
+		}
+		time.Sleep(retryAfter)
+	}
+}
+
+// playReturning sends prompts for a time, whose callers return when they are told to.
+func (l *promptLoad) playReturning(span time.Duration) {
+	end := time.Now().Add(span)
+	for time.Now().Before(end) {
+		time.Sleep(time.Duration(-math.Log(1-l.draw()) / l.rate * float64(time.Second)))
+		l.callers.Go(l.callUntilServed)
+	}
+}
+
+// sentBetween returns how many prompts were sent from one time on until another.
+func (l *promptLoad) sentBetween(from, until time.Time) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	count := 0
+	for _, at := range l.sent {
+		if !at.Before(from) && at.Before(until) {
+			count++
+		}
+	}
+	return count
+}
+
+// send sends a prompt to a random host, and reports whether it was answered, whether the
+// answer has begun, and when a caller that was refused may return.
+func (l *promptLoad) send(own string, attempt int, first, second string) (done, begun bool, retryAfter time.Duration) {
 	h := l.fleet.host(int(l.draw() * float64(l.hosts)))
 	out := httptest.NewRecorder()
 	defer func() {
 		// The host aborts a stream that it can't complete.
 		if recover() != nil {
-			done, begun = false, out.Body.Len() > 0
+			done, begun, retryAfter = false, out.Body.Len() > 0, 0
 		}
 	}()
 	sentAt := time.Now()
+	l.mu.Lock()
+	l.sent = append(l.sent, sentAt)
+	l.mu.Unlock()
 	h.ingress.ServeHTTP(out, standin.NewPrompt(fmt.Sprint(own, "-", attempt), first, second, own))
 	done = out.Code == http.StatusOK
 	if out.Code == http.StatusServiceUnavailable {
 		l.mu.Lock()
 		l.longestRefusal = max(l.longestRefusal, time.Since(sentAt))
+		l.refused++
 		l.mu.Unlock()
+		retryAfter = standin.RetryAfter(out.Header())
 	}
-	return done, done && out.Body.Len() > 0
+	return done, done && out.Body.Len() > 0, retryAfter
 }
 
 // begunShare returns the share of sound requests, sent from one time on until another, that
--- a/lavhost/statements_test.go
+++ b/lavhost/statements_test.go
@@ -57,3 +57,35 @@
 		l.end(t)
 	})
 }
+
+// TestCallersReturnSpread guards against a flood of callers at the end of a time for which all
+// endpoints wanted no requests, and against callers that are told to return before it.
+func TestCallersReturnSpread(t *testing.T) {
+	const (
+		aloneTime = 6 * time.Second
+		step      = 500 * time.Millisecond
+		// mostOfUsual is how many times the usual number of prompts may come in a step.
+		mostOfUsual = 3
+	)
+	synctest.Test(t, func(t *testing.T) {
+		l := startPromptLoad(t, 8)
+		l.playReturning(soundPhase)
+		usual := soundRequestsPerS * step.Seconds()
+		for i := range promptLoadEndpoints {
+			l.endpoints.LeaveAlone(promptLoadEndpoint(i), aloneTime)
+		}
+		began := time.Now()
+		end := began.Add(aloneTime)
+		l.playReturning(aloneTime + soundPhase)
+		during := float64(l.sentBetween(began.Add(time.Second), end)) / (aloneTime - time.Second).Seconds()
+		lavassert.AtMost(t, "prompts a second before the end", during, soundRequestsPerS*1.2)
+		peak := 0
+		for at := end; at.Before(end.Add(soundPhase)); at = at.Add(step / 5) {
+			peak = max(peak, l.sentBetween(at, at.Add(step)))
+		}
+		t.Logf("usual %.0f in %v, at most %d after the end; %d refused", usual, step, peak, l.refused)
+		lavassert.AtMost(t, "prompts in a step after the end", float64(peak), mostOfUsual*usual)
+		lavassert.AtMost(t, "longest time to a refusal", l.longestRefusal, 300*time.Millisecond)
+		l.end(t)
+	})
+}
--- a/lavplan/admit.go
+++ b/lavplan/admit.go
@@ -36,15 +36,32 @@
 	retryJitter = 0.5
 )
 
-// RetryAfter returns when capacity is expected: once the mean prefill backlog has been
-// worked off, or, without a candidate, when the first endpoint is available again.
-func RetryAfter(candidates []Candidate, untilAvailable time.Duration, draw func() float64) time.Duration {
+// maxReturnSpread bounds the time over which the callers return who were refused while no endpoint
+// was available.
+const maxReturnSpread = 30 * time.Second
+
+// Absence is a time in which no endpoint takes a request.
+type Absence struct {
+	// Left is the time until the first endpoint is expected to take one, zero if that isn't known.
+	Left time.Duration
+	// Length is the whole time, during which refused callers add up. It is zero if some are
+	// served meanwhile.
+	Length time.Duration
+}
+
+// RetryAfter returns when capacity is expected: once the mean prefill backlog has been worked off,
+// or, without a candidate, when the first endpoint takes a request again. Callers who add up during
+// an absence return spread over a time as long, so that twice as many as usual come then.
+func RetryAfter(candidates []Candidate, absence Absence, draw func() float64) time.Duration {
+	if len(candidates) == 0 && absence.Length > 0 {
+		return absence.Left + time.Duration(draw()*float64(min(absence.Length, maxReturnSpread)))
+	}
 	wait := min(max(Backlog(candidates), minRetryAfter), maxBacklogRetryAfter)
 	if len(candidates) == 0 {
-		wait = max(wait, untilAvailable)
+		wait = max(wait, absence.Left)
 	}
 	wait += time.Duration(retryJitter * draw() * float64(wait))
-	return min(wait, max(maxBacklogRetryAfter, 2*untilAvailable))
+	return min(wait, max(maxBacklogRetryAfter, 2*absence.Left))
 }
 
 // PlaceCall chooses the endpoint for a call to a service that is not a model engine: the
--- a/lavplan/place_test.go
+++ b/lavplan/place_test.go
@@ -284,7 +284,7 @@
 	retried := reviewPrompt(1_000_000)
 	retried.Retried = true
 	lavassert.True(t, "retried prompt is admitted", Admit(retried, late, busy))
-	wait := RetryAfter(busy, 0, drawHalf)
+	wait := RetryAfter(busy, Absence{}, drawHalf)
 	lavassert.AtLeast(t, "Retry-After", wait, time.Second)
 	lavassert.AtMost(t, "Retry-After", wait, maxBacklogRetryAfter)
 }
--- a/lavplan/simulate_test.go
+++ b/lavplan/simulate_test.go
@@ -245,7 +245,7 @@
 		return
 	}
 	s.prompt.Retried = true
-	heap.Push(&w.pending, event{at: w.now + RetryAfter(candidates, 0, w.draw.Float64), engine: -1, stream: s})
+	heap.Push(&w.pending, event{at: w.now + RetryAfter(candidates, Absence{}, w.draw.Float64), engine: -1, stream: s})
 }
 
 // enqueue inserts a stream by priority, behind streams of the same priority.
--- a/lavrelay/placement.go
+++ b/lavrelay/placement.go
@@ -60,7 +60,7 @@
 			}
 		}
 		if !ok && (!mayPoll || !snapshot.AvailableBy(availableWaitEnd)) {
-			t.retryAfter = lavplan.RetryAfter(snapshot.Candidates, snapshot.UntilAvailable(), t.relay.draw)
+			t.retryAfter = lavplan.RetryAfter(snapshot.Candidates, snapshot.Absence(), t.relay.draw)
 			return nil, OutcomeFull
 		}
 		if !ok && !queued {
