--- a/lavfleet/availability.go
+++ b/lavfleet/availability.go
@@ -72,7 +72,7 @@
 	leaving bool
 	// aloneSince and aloneUntil limit the last time for which this host must send it nothing.
 	aloneSince, aloneUntil time.Time
-	limit      Limit
+	limit                  Limit
 }
 
 // RecordLeaving records that an endpoint has stated that it will leave. It returns false if
