--- a/lavfleet/fleet.go
+++ b/lavfleet/fleet.go
@@ -61,6 +61,8 @@
 	// endpoint.
 	arrivals *window
 	queue    *lavpermit.Queue
+	// permitAskedAt is when this host last asked for permits for an endpoint of the service.
+	permitAskedAt time.Time
 }
 
 // endpointState is an endpoint with its load and health.
--- a/lavfleet/fleet_test.go
+++ b/lavfleet/fleet_test.go
@@ -74,6 +74,16 @@
 	}
 }
 
+// TestColdLimitOfFewEndpoints guards against hosts that together exceed the limit of cold endpoints
+// since there are too few endpoints for each host to have a share.
+func TestColdLimitOfFewEndpoints(t *testing.T) {
+	for _, c := range []struct{ hosts, endpoints int }{{88, 2}, {295, 3}, {430, 5}} {
+		t.Run(fmt.Sprint(c.hosts), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { checkColdLimit(t, c.hosts, c.endpoints) })
+		})
+	}
+}
+
 func checkColdLimit(t *testing.T, hosts, endpoints int) {
 	t.Helper()
 	bound := int(engineService.ColdRequestsPerSecond*testBounds.ColdFactor + testBounds.ColdSlack)
--- a/lavfleet/permits.go
+++ b/lavfleet/permits.go
@@ -47,21 +47,29 @@
 	// Requests are expected to spread over all endpoints evenly.
 	perSecond *= float64(len(limited)) / float64(available)
 	held := heldPermits(limited, now)
-	need := 0
-	if perSecond > 0 || svc.queue.Len() > 0 {
-		need = lavpermit.Need(perSecond, svc.queue.Len(), held, horizon(limited))
+	need := lavpermit.Need(perSecond, svc.queue.CountWaiting(now), held, horizon(limited))
+	if held == 0 && svc.permitDue(now, perSecond) {
+		need = max(need, 1)
 	}
 	limited = slices.DeleteFunc(limited, func(s *endpointState) bool { return !s.stock.MayAsk(now) })
 	slices.SortStableFunc(limited, func(a, b *endpointState) int { return a.stock.LastAsk().Compare(b.stock.LastAsk()) })
 	limited = limited[:min(len(limited), need, max(most, 0))]
 	var asks []PermitAsk
 	for _, s := range limited {
+		svc.permitAskedAt = now
 		s.stock.Asked(now)
 		asks = append(asks, PermitAsk{Life: s.Incarnation(), Limit: f.limitOf(s), Permits: (need + len(limited) - 1) / len(limited)})
 	}
 	return asks
 }
 
+// permitDue reports whether a host that sends perSecond requests to endpoints with limits would send
+// one now. Requests that other endpoints take don't wait for a permit, so that it is asked for without
+// any that waits: else the endpoints with limits would get nothing, and their limits never end.
+func (svc *service) permitDue(now time.Time, perSecond float64) bool {
+	return perSecond > 0 && now.Sub(svc.permitAskedAt).Seconds() >= 1/perSecond
+}
+
 // AddPermits adds what this host has got for an endpoint when it asked at a time.
 func (f *Fleet) AddPermits(life lavconfig.Incarnation, askedAt time.Time, g lavpermit.Grant) {
 	f.mu.Lock()
--- a/lavhost/permitexchange.go
+++ b/lavhost/permitexchange.go
@@ -21,7 +21,7 @@
 	// the time between two rounds. They bound the traffic of a host, however many endpoints
 	// state limits.
 	maxPermitAsks   = 16
-	permitRoundTime = lavpermit.MinAskInterval / 2
+	permitRoundTime = 50 * time.Millisecond
 	// holderDelay is how long after it has joined the others a host hands out no permits, since
 	// the previous holder may not know it yet.
 	holderDelay = 2 * time.Second
--- a/lavpermit/allocator.go
+++ b/lavpermit/allocator.go
@@ -1,13 +1,18 @@
 package lavpermit
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// PermitTTL is how long after it was asked for a permit may be used.
 	PermitTTL = 1500 * time.Millisecond
-	// BurstTime is the time for which the holder saves up permits that nobody asks for, beyond
-	// the first one.
-	BurstTime = 250 * time.Millisecond
+	// The holder saves up permits that nobody asks for: BurstPermits, and in addition those of
+	// BurstTime. With a single one, a bound below a request a second would often be unused, as
+	// requests rarely come when the next permit is due.
+	BurstPermits = 2
+	BurstTime    = 250 * time.Millisecond
 	// MinPerSecond replaces a lower rate. Without any request a host would not learn that the
 	// endpoint takes more again.
 	MinPerSecond = 0.1
@@ -16,12 +21,8 @@
 // Times between two questions of a host for the permits of one bound.
 const (
 	MinAskInterval = 100 * time.Millisecond
-	maxAskInterval = 5 * time.Second
 	// askIntervalPerAsker bounds the questions that a holder gets for one bound from many hosts.
 	askIntervalPerAsker = 2500 * time.Microsecond
-	// asksPerPermit is how often a host that gets no permit asks in the time after which it
-	// may expect one.
-	asksPerPermit = 8
 )
 
 // minAskerTTL is the least time for which a host that has asked counts as one that shares a bound.
@@ -73,47 +74,39 @@
 	}
 	b.fill(now, perSecond)
 	b.askers[asker] = now
-	b.forgetAskers(now, perSecond)
-	granted := b.take(want)
+	b.forgetAskers(now)
 	return Grant{
-		Permits:  granted,
-		Interval: b.intervalPerAsker(perSecond),
-		AskAfter: b.askAfter(perSecond, granted >= want),
+		Permits:  b.take(want, perSecond),
+		Interval: time.Duration(float64(len(b.askers)) / perSecond * float64(time.Second)),
+		AskAfter: b.askAfter(),
 	}
 }
 
 // fill adds the permits for the time since the last call.
 func (b *bucket) fill(now time.Time, perSecond float64) {
-	most := 1 + perSecond*BurstTime.Seconds()
+	most := BurstPermits + perSecond*BurstTime.Seconds()
 	b.permits = min(b.permits+now.Sub(b.filledAt).Seconds()*perSecond, most)
 	b.filledAt = now
 }
 
-// take hands out permits: no more than are wanted, and of several no more than the asker's share.
-func (b *bucket) take(want int) int {
-	whole := int(b.permits)
-	share := max(1, (whole+len(b.askers)-1)/len(b.askers))
-	granted := max(min(want, whole, share), 0)
+// take hands out permits: no more than are wanted, and no more than the asker's share of those that
+// there are, or that there will be until it asks again.
+func (b *bucket) take(want int, perSecond float64) int {
+	toShare := max(b.permits, perSecond*b.askAfter().Seconds())
+	share := max(1, int(math.Ceil(toShare/float64(len(b.askers)))))
+	granted := max(min(want, int(b.permits), share), 0)
 	b.permits -= float64(granted)
 	return granted
 }
 
-func (b *bucket) intervalPerAsker(perSecond float64) time.Duration {
-	return time.Duration(float64(len(b.askers)) / perSecond * float64(time.Second))
-}
-
-// askAfter returns when a host should ask again, which depends on whether it got all it wants.
-func (b *bucket) askAfter(perSecond float64, satisfied bool) time.Duration {
-	least := max(MinAskInterval, time.Duration(len(b.askers))*askIntervalPerAsker)
-	if satisfied {
-		return least
-	}
-	return min(max(b.intervalPerAsker(perSecond)/asksPerPermit, least), maxAskInterval)
+// askAfter returns when a host should ask again.
+func (b *bucket) askAfter() time.Duration {
+	return max(MinAskInterval, time.Duration(len(b.askers))*askIntervalPerAsker)
 }
 
-// forgetAskers drops the hosts that have not asked for two of their intervals.
-func (b *bucket) forgetAskers(now time.Time, perSecond float64) {
-	ttl := max(2*b.askAfter(perSecond, false), minAskerTTL)
+// forgetAskers drops the hosts that no longer ask.
+func (b *bucket) forgetAskers(now time.Time) {
+	ttl := max(2*b.askAfter(), minAskerTTL)
 	for asker, at := range b.askers {
 		if now.Sub(at) > ttl {
 			delete(b.askers, asker)
--- a/lavpermit/doc.go
+++ b/lavpermit/doc.go
@@ -7,9 +7,9 @@
 // PermitTTL is lost, so that the holder needs no account of the hosts, and a host that dies,
 // freezes or is cut off takes nothing with it for long.
 //
-// In any span of time w, a holder hands out at most rate * (w + BurstTime) + 1 permits, and
-// hosts use at most what was handed out in w + PermitTTL. All of that may fall into a new holder's
-// time without more being used: it begins without permits in store.
+// In any span of time w, a holder hands out at most rate * (w + BurstTime) + BurstPermits permits, and
+// hosts use at most what was handed out in w + PermitTTL. That holds across a change of the holder
+// too, since the next one begins without any permits saved up.
 //
 // A Queue orders the requests of a host that wait for permits. The package does no input or
 // output and takes the current time as an argument.
--- a/lavpermit/queue.go
+++ b/lavpermit/queue.go
@@ -11,8 +11,14 @@
 	Priority int
 	// Due is by when the request should be answered.
 	Due time.Time
+	// Until is how long the request waits.
+	Until time.Time
 }
 
+// AnswerTime is the time within which the holder's answer is expected. A permit that is asked for
+// later before the end of a request's wait would be lost.
+const AnswerTime = 30 * time.Millisecond
+
 // before reports whether w is served before v.
 func (w *Waiting) before(v *Waiting) bool {
 	if w.Priority != v.Priority {
@@ -45,8 +51,16 @@
 	return q.position(w)
 }
 
-// Len returns the number of requests.
-func (q *Queue) Len() int { return len(q.waiting) }
+// CountWaiting returns the number of requests that still wait when the holder answers.
+func (q *Queue) CountWaiting(now time.Time) int {
+	count := 0
+	for _, w := range q.waiting {
+		if w.Until.Sub(now) >= AnswerTime {
+			count++
+		}
+	}
+	return count
+}
 
 // position returns where a request is inserted: behind those with the same order.
 func (q *Queue) position(w *Waiting) int {
--- a/lavpermit/stock.go
+++ b/lavpermit/stock.go
@@ -1,9 +1,6 @@
 package lavpermit
 
-import (
-	"math"
-	"time"
-)
+import "time"
 
 // Stock is the permits of one bound that a host has, and what it knows about further ones. The
 // zero value holds none.
@@ -90,7 +87,9 @@
 func (s *Stock) Horizon() time.Duration { return max(s.horizon, minHorizon) }
 
 // Need returns how many permits a host lacks that gets perSecond requests, has others waiting, and
-// holds some permits.
+// holds some permits. A host with few requests gets permits only for those that wait, since others
+// could use in the meantime what it has in advance.
 func Need(perSecond float64, waiting, held int, horizon time.Duration) int {
-	return max(int(math.Ceil(perSecond*horizon.Seconds()))+waiting-held, 0)
+	inAdvance := int(perSecond*horizon.Seconds()) - 1
+	return max(max(waiting, inAdvance)-held, 0)
 }
--- a/lavrelay/placement.go
+++ b/lavrelay/placement.go
@@ -38,7 +38,7 @@
 	start := time.Now()
 	availableWaitEnd := start.Add(time.Duration(float64(t.call.Route.Objective) * availableWaitFraction))
 	lateWaitEnd := t.call.Arrived.Add(t.call.Prompt.AbandonAfter() / 2)
-	waiting := &lavpermit.Waiting{Priority: t.call.Prompt.Priority(), Due: t.call.Arrived.Add(t.call.Route.Objective)}
+	waiting := &lavpermit.Waiting{Priority: t.call.Prompt.Priority(), Due: t.call.Arrived.Add(t.call.Route.Objective), Until: availableWaitEnd}
 	queued := false
 	defer func() {
 		if queued {
