Name the limit that kept a request from an endpoint, and count permits

A request's line has LimitedBy: the endpoint, its limit, the age of the statement and this host's share. OPERATIONS.md says what to look for.

--- a/lavfleet/limit_test.go
+++ b/lavfleet/limit_test.go
@@ -66,6 +66,7 @@
 		f.RecordLimit(limitedLife, 2)
 		b, _ := f.Snapshot("m", skipNone)
 		lavassert.Equal(t, "endpoints without permit", b.Excluded[ReasonLimited], 1)
+		lavassert.Equal(t, "limit that is named", b.LimitedBy.Life, limitedLife)
 		lavassert.True(t, "no run", beginRun(f, "e1", lavplan.Load{}) == nil)
 		lavassert.True(t, "no run with a part there", f.Begin(parts) == nil)
 		f.AddPermits(limitedLife, time.Now(), lavpermit.Grant{Permits: 2, Interval: time.Second})
--- a/lavfleet/permits.go
+++ b/lavfleet/permits.go
@@ -169,6 +169,20 @@
 	return time.Duration(float64(lacking) / p.perSecond * float64(time.Second))
 }
 
+// HeldLimit is a limit of an endpoint for which a request lacked a permit.
+type HeldLimit struct {
+	Life  lavconfig.Incarnation
+	Limit Limit
+	// PerSecond is this host's share of the limit, zero if it isn't known yet.
+	PerSecond float64
+}
+
+// heldLimit describes the limit of an endpoint. The caller holds the lock.
+func (f *Fleet) heldLimit(s *endpointState) HeldLimit {
+	perSecond, _ := s.stock.PerSecond()
+	return HeldLimit{Life: s.Incarnation(), Limit: f.limitOf(s), PerSecond: perSecond}
+}
+
 // requestPermits signals that requests lack permits.
 func (f *Fleet) requestPermits() {
 	select {
--- a/lavfleet/snapshot.go
+++ b/lavfleet/snapshot.go
@@ -15,6 +15,9 @@
 	Candidates []lavplan.Candidate
 	// Excluded counts the endpoints that were left out.
 	Excluded Exclusions
+	// LimitedBy describes the limit of one of the endpoints that were left out for want of a
+	// permit. Its life is empty if there is none.
+	LimitedBy HeldLimit
 	// NextAvailable is when the first of the endpoints that want no requests for a time, or
 	// only a limited number, is expected to receive one again. It is zero if there is none.
 	NextAvailable time.Time
@@ -60,6 +63,9 @@
 		case f.limitOf(s).Stated && (!permits.usable() || s.stock.Count(now) == 0):
 			reason = ReasonLimited
 		}
+		if reason == ReasonLimited {
+			b.LimitedBy = f.heldLimit(s)
+		}
 		if reason != ReasonNone {
 			b.exclude(reason, f.statements[s.Incarnation()], now.Add(permits.wait()))
 			continue
--- a/lavhost/host.go
+++ b/lavhost/host.go
@@ -133,7 +133,7 @@
 	h.peers.follower = h.follower
 	h.socket = lavdatagram.New(h.deps.Datagrams, h.deps.Scope)
 	h.loadExchange = newLoadExchange(h.socket, h.fleet, h.peers, h.deps.Logger)
-	h.permits = newPermitExchange(h.socket, h.fleet, h.peers, h.deps.Logger)
+	h.permits = newPermitExchange(h.socket, h.fleet, h.peers, h.deps.Logger, h.deps.Scope)
 	h.mesh.Handle(lavmesh.TopicBeat, h.peers.handleHeartbeat)
 	h.mesh.Handle(lavmesh.TopicSuspicion, h.peers.handleSuspicion)
 	h.mesh.Handle(lavmesh.TopicNews, h.peers.handleUpdate)
--- a/lavhost/permitexchange.go
+++ b/lavhost/permitexchange.go
@@ -14,6 +14,7 @@
 	"lavenderrack.example/lavenderrack/lavpermit"
 
 	"github.com/phuslu/log"
+	"github.com/uber-go/tally/v4"
 )
 
 const (
@@ -34,6 +35,9 @@
 	fleet  *lavfleet.Fleet
 	peers  *peers
 	logger *log.Logger
+	// asked and granted count the permits that this host asked for and got, and handedOut those
+	// that it handed out as a holder.
+	asked, granted, handedOut tally.Counter
 
 	mu        sync.Mutex
 	allocator *lavpermit.Allocator[boundID]
@@ -49,8 +53,12 @@
 	lives  map[boundID]lavconfig.Incarnation
 }
 
-func newPermitExchange(socket *lavdatagram.Socket, fleet *lavfleet.Fleet, p *peers, logger *log.Logger) *permitExchange {
+func newPermitExchange(socket *lavdatagram.Socket, fleet *lavfleet.Fleet, p *peers, logger *log.Logger, scope tally.Scope) *permitExchange {
+	s := scope.SubScope("permits")
 	e := &permitExchange{
+		asked:     s.Counter("asked"),
+		granted:   s.Counter("granted"),
+		handedOut: s.Counter("handed_out"),
 		socket:    socket,
 		fleet:     fleet,
 		peers:     p,
@@ -126,6 +134,7 @@
 	for _, a := range asks {
 		bound := newBoundID(a.Life)
 		open.lives[bound] = a.Life
+		e.asked.Inc(int64(a.Permits))
 		r.Items = append(r.Items, permitItem{Bound: bound, PerSecond: a.Limit.PerSecond, Age: now.Sub(a.Limit.At), Permits: a.Permits})
 	}
 	e.open[e.number] = open
@@ -161,6 +170,7 @@
 		}
 		perSecond := e.latestLimit(now, item) * share
 		g := e.allocator.Grant(now, item.Bound, perSecond, r.Host, item.Permits)
+		e.handedOut.Inc(int64(g.Permits))
 		response.Items = append(response.Items, grantItem{Bound: item.Bound, Permits: g.Permits, Interval: g.Interval, AskAfter: g.AskAfter})
 	}
 	return response
@@ -205,6 +215,7 @@
 	}
 	for _, item := range r.Items {
 		if life, asked := open.lives[item.Bound]; asked {
+			e.granted.Inc(int64(item.Permits))
 			e.fleet.AddPermits(life, open.sentAt, item.grant())
 		}
 	}
--- a/lavpermit/allocator.go
+++ b/lavpermit/allocator.go
@@ -8,11 +8,12 @@
 const (
 	// PermitTTL is how long after it was asked for a permit may be used.
 	PermitTTL = 1500 * time.Millisecond
-	// The holder saves up permits that nobody asks for: BurstPermits, and in addition those of
-	// BurstTime. With a single one, a bound below a request a second would often be unused, as
-	// requests rarely come when the next permit is due.
+	// BurstPermits is the number of permits that the holder saves up if nobody asks. With a
+	// single one, a bound below a request a second would often be unused, as requests rarely
+	// come when the next permit is due.
 	BurstPermits = 2
-	BurstTime    = 250 * time.Millisecond
+	// BurstTime is the time for which the holder saves up permits in addition to BurstPermits.
+	BurstTime = 250 * time.Millisecond
 	// MinPerSecond replaces a lower rate. Without any request a host would not learn that the
 	// endpoint takes more again.
 	MinPerSecond = 0.1
--- a/lavrelay/trace.go
+++ b/lavrelay/trace.go
@@ -1,6 +1,7 @@
 package lavrelay
 
 import (
+	"fmt"
 	"strconv"
 	"time"
 
@@ -23,6 +24,7 @@
 	// endpoints, or the refusal, was based.
 	candidates, inBackoff int
 	excluded              lavfleet.Exclusions
+	limitedBy             lavfleet.HeldLimit
 	backlog, expected     time.Duration
 	loadAge               time.Duration
 	// waited is how long the last attempt waited before it was sent.
@@ -51,6 +53,9 @@
 // recordPlan records the state on which a plan is based.
 func (t *trace) recordPlan(b lavfleet.Snapshot, p lavplan.Plan) {
 	t.excluded = b.Excluded
+	if b.LimitedBy.Life.ID != "" {
+		t.limitedBy = b.LimitedBy
+	}
 	t.candidates, t.inBackoff = len(b.Candidates), lavplan.CountInBackoff(b.Candidates)
 	t.backlog, t.expected = lavplan.Backlog(b.Candidates), p.Expected
 	t.loadAge = b.Age
@@ -63,6 +68,17 @@
 	}
 }
 
+// describeLimit returns the limit that held the call back or kept it from an endpoint, such as "e1
+// takes 1.3 a second, stated 2.1s ago, 0.22 for this host", or "" if none did.
+func (t *trace) describeLimit() string {
+	l := t.limitedBy
+	if l.Life.ID == "" {
+		return ""
+	}
+	return fmt.Sprintf("%s takes %.3g a second, stated %v ago, %.3g for this host",
+		l.Life.ID, l.Limit.PerSecond, time.Since(l.Limit.At).Round(limitAgeUnit), l.PerSecond)
+}
+
 func (t *trace) recordError(err error) { t.failure = err.Error() }
 
 // recordWrite records the time at which bytes of a stream were sent to the caller.
@@ -75,6 +91,9 @@
 	t.lastEvent = now
 }
 
+// limitAgeUnit is the unit in which a call's line gives the age of a limit.
+const limitAgeUnit = 100 * time.Millisecond
+
 // log writes the log line of a call with its outcome and what it was based on.
 func (t *task) log(o Outcome) {
 	level := log.InfoLevel
@@ -112,6 +131,7 @@
 		Str("Failure", t.trace.failure).
 		Str("Blocked", t.trace.blocked).
 		Str("Limit", t.trace.limit).
+		Str("LimitedBy", t.trace.describeLimit()).
 		Msg("request")
 }
 
--- a/lavrelay/trace_test.go
+++ b/lavrelay/trace_test.go
@@ -7,6 +7,7 @@
 	"strings"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"lavenderrack.example/lavenderrack/lavassert"
 	"lavenderrack.example/lavenderrack/lavconfig"
@@ -40,3 +41,19 @@
 		})
 	}
 }
+
+// TestLogNamesTheLimit checks that a call's line says which limit it met.
+func TestLogNamesTheLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newFixture(standin.RespondLimited(200, "ok", 0.2))
+		var lines bytes.Buffer
+		b.relay.logger = &log.Logger{Level: log.InfoLevel, Writer: log.IOWriter{Writer: &lines}}
+		b.serve(context.Background(), b.call(lavconfig.KindUnsafe))
+		lavassert.True(t, "line of the answer names the limit", strings.Contains(lines.String(), `"Limit":"0.2"`))
+		time.Sleep(2 * time.Second)
+		b.serve(context.Background(), b.call(lavconfig.KindUnsafe))
+		want := `"LimitedBy":"e1 takes 0.2 a second, stated 2s ago, 0 for this host"`
+		lavassert.True(t, "line of the refusal names the limit", strings.Contains(lines.String(), want))
+		b.sweep()
+	})
+}
