--- a/lavpermit/simulate_test.go
+++ b/lavpermit/simulate_test.go
@@ -12,7 +12,7 @@
 // Parameters of the simulations.
 const (
 	simStep     = 10 * time.Millisecond
-	simTime     = 24 * time.Second
+	simTime     = 30 * time.Second
 	simSettle   = 5 * time.Second
 	simMaxWait  = 300 * time.Millisecond
 	simDelay    = 5 * time.Millisecond
