Give waiting calls a type of their own, and decode datagrams in one place

Counting the hosts for the share that a holder hands out went over all peers for each question; it is done with the view. Ages from peers below zero count as zero. The two checks of a refusal at once are one, with the same bounds.

--- a/lavfleet/permits.go
+++ b/lavfleet/permits.go
@@ -36,8 +36,8 @@
 	return asks
 }
 
-// permitAsks returns the questions for the endpoints of one service. Those that were not asked for
-// the longest come first. The caller holds the lock.
+// permitAsks returns the questions for the endpoints of one service. Those for which it might have
+// asked the longest come first. The caller holds the lock.
 func (f *Fleet) permitAsks(svc *service, now time.Time, most int) []PermitAsk {
 	limited, available := f.limitedEndpoints(svc, now)
 	if len(limited) == 0 {
@@ -52,7 +52,7 @@
 		need = max(need, 1)
 	}
 	limited = slices.DeleteFunc(limited, func(s *endpointState) bool { return !s.stock.MayAsk(now) })
-	slices.SortStableFunc(limited, func(a, b *endpointState) int { return a.stock.LastAsk().Compare(b.stock.LastAsk()) })
+	slices.SortStableFunc(limited, func(a, b *endpointState) int { return a.stock.AskAt().Compare(b.stock.AskAt()) })
 	limited = limited[:min(len(limited), need, max(most, 0))]
 	var asks []PermitAsk
 	for _, s := range limited {
@@ -169,18 +169,18 @@
 	return time.Duration(float64(lacking) / p.perSecond * float64(time.Second))
 }
 
-// HeldLimit is a limit of an endpoint for which a request lacked a permit.
-type HeldLimit struct {
+// BlockingLimit is a limit of an endpoint for which a request lacked a permit.
+type BlockingLimit struct {
 	Life  lavconfig.Incarnation
 	Limit Limit
 	// PerSecond is this host's share of the limit, zero if it isn't known yet.
 	PerSecond float64
 }
 
-// heldLimit describes the limit of an endpoint. The caller holds the lock.
-func (f *Fleet) heldLimit(s *endpointState) HeldLimit {
+// blockingLimit describes the limit of an endpoint. The caller holds the lock.
+func (f *Fleet) blockingLimit(s *endpointState) BlockingLimit {
 	perSecond, _ := s.stock.PerSecond()
-	return HeldLimit{Life: s.Incarnation(), Limit: f.limitOf(s), PerSecond: perSecond}
+	return BlockingLimit{Life: s.Incarnation(), Limit: f.limitOf(s), PerSecond: perSecond}
 }
 
 // requestPermits signals that requests lack permits.
--- a/lavfleet/snapshot.go
+++ b/lavfleet/snapshot.go
@@ -17,7 +17,7 @@
 	Excluded Exclusions
 	// LimitedBy describes the limit of one of the endpoints that were left out for want of a
 	// permit. Its life is empty if there is none.
-	LimitedBy HeldLimit
+	LimitedBy BlockingLimit
 	// NextAvailable is when the first of the endpoints that want no requests for a time, or
 	// only a limited number, is expected to receive one again. It is zero if there is none.
 	NextAvailable time.Time
@@ -64,7 +64,7 @@
 			reason = ReasonLimited
 		}
 		if reason == ReasonLimited {
-			b.LimitedBy = f.heldLimit(s)
+			b.LimitedBy = f.blockingLimit(s)
 		}
 		if reason != ReasonNone {
 			b.exclude(reason, f.statements[s.Incarnation()], now.Add(permits.wait()))
--- a/lavhost/host.go
+++ b/lavhost/host.go
@@ -115,6 +115,8 @@
 		self:          self,
 		byIncarnation: make(map[string]*peer),
 		view:          &lavmember.View{Members: []lavmember.Member{self}},
+		aliveHosts:    1,
+		knownHosts:    1,
 	}
 	h.mesh = lavmesh.New(h.peers, h.deps.PeerClient)
 	h.mesh.SetTiming(meshTimings)
--- a/lavhost/loadexchange.go
+++ b/lavhost/loadexchange.go
@@ -101,8 +101,8 @@
 		received:       make(map[string]receivedReport),
 		latestTotals:   make(map[string]uint64),
 	}
-	socket.Handle(lavdatagram.KindWork, l.handleReport)
-	socket.Handle(lavdatagram.KindTotals, l.handleTotals)
+	handleDatagrams(socket, lavdatagram.KindWork, logger, l.acceptReport)
+	handleDatagrams(socket, lavdatagram.KindTotals, logger, l.handleTotals)
 	return l
 }
 
@@ -215,16 +215,6 @@
 	return lavmember.HighestRanked(v, aggregatorRankKey, aggregatorCount)
 }
 
-// handleReport handles a report from another host.
-func (l *loadExchange) handleReport(body []byte) {
-	var r loadReport
-	if err := lavdatagram.Decode(body, &r); err != nil {
-		l.logger.Warn().Err(err).Msg("ignoring invalid load report")
-		return
-	}
-	l.acceptReport(r)
-}
-
 // acceptReport stores a report unless it is older than the stored one. In a
 // small fleet it then applies the new sum, otherwise it wakes the aggregator
 // service.
@@ -250,12 +240,7 @@
 
 // handleTotals applies and forwards totals unless this host has received newer
 // ones.
-func (l *loadExchange) handleTotals(body []byte) {
-	var t loadTotals
-	if err := lavdatagram.Decode(body, &t); err != nil {
-		l.logger.Warn().Err(err).Msg("ignoring invalid load totals")
-		return
-	}
+func (l *loadExchange) handleTotals(t loadTotals) {
 	if l.isNewer(t) {
 		l.applyTotals(t)
 		l.forwardTotals(t)
--- a/lavhost/peers.go
+++ b/lavhost/peers.go
@@ -81,6 +81,9 @@
 	self          lavmember.Member
 	byIncarnation map[string]*peer
 	view          *lavmember.View
+	// aliveHosts and knownHosts are the numbers of hosts that are alive, and that have been alive
+	// lately and have not left.
+	aliveHosts, knownHosts int
 	// lastSentSelf is this host's member entry in the last heartbeat that
 	// carried one, and heartbeatsSinceSelf counts the heartbeats since then.
 	lastSentSelf        lavmember.Member
@@ -197,6 +200,7 @@
 	}
 	position := slices.IndexFunc(members, func(m lavmember.Member) bool { return m.Incarnation == p.self.Incarnation })
 	p.fleet.SetHosts(max(len(members)+spareHosts, minHosts), position)
+	p.countHosts()
 }
 
 // setSeeds replaces the addresses that are dialled while no peer is known.
@@ -224,23 +228,28 @@
 // only this share of it, so that parts of the fleet which are cut off from each other stay within
 // the whole. It returns false for a host that has joined the others too lately to hand out anything.
 func (p *peers) reachableShare() (share float64, ok bool) {
-	now := time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if !p.joinedAt.IsZero() && now.Sub(p.joinedAt) < holderDelay {
+	if !p.joinedAt.IsZero() && time.Since(p.joinedAt) < holderDelay {
 		return 0, false
 	}
-	known := make(map[string]bool)
+	return float64(p.aliveHosts) / float64(max(p.knownHosts, 1)), true
+}
+
+// countHosts counts the hosts for reachableShare. One that has started again counts once. The caller
+// holds the lock.
+func (p *peers) countHosts() {
+	known := make(map[string]bool, len(p.view.Members))
 	for _, m := range p.view.Members {
 		known[m.Host] = true
 	}
-	alive := len(known)
+	p.aliveHosts = len(known)
 	for _, other := range p.byIncarnation {
 		if !other.member.Leaving {
 			known[other.member.Host] = true
 		}
 	}
-	return float64(alive) / float64(len(known)), true
+	p.knownHosts = len(known)
 }
 
 // addStoreMembers adds the members that the store lists. It doesn't overwrite
--- a/lavhost/permitexchange.go
+++ b/lavhost/permitexchange.go
@@ -67,8 +67,8 @@
 		limits:    make(map[boundID]lavfleet.Limit),
 		open:      make(map[uint64]openPermitRequest),
 	}
-	socket.Handle(lavdatagram.KindPermitRequest, e.handleRequest)
-	socket.Handle(lavdatagram.KindPermitResponse, e.handleResponse)
+	handleDatagrams(socket, lavdatagram.KindPermitRequest, logger, e.answer)
+	handleDatagrams(socket, lavdatagram.KindPermitResponse, logger, e.accept)
 	return e
 }
 
@@ -141,13 +141,8 @@
 	return r
 }
 
-// handleRequest answers a host that takes this one for the holder.
-func (e *permitExchange) handleRequest(body []byte) {
-	var r permitRequest
-	if err := lavdatagram.Decode(body, &r); err != nil {
-		e.logger.Warn().Err(err).Msg("ignoring invalid request for permits")
-		return
-	}
+// answer answers a host that takes this one for the holder.
+func (e *permitExchange) answer(r permitRequest) {
 	if asker, ok := e.peers.View().Member(r.Host); ok {
 		e.send(asker, lavdatagram.KindPermitResponse, e.grant(r))
 	}
@@ -182,7 +177,7 @@
 // latestLimit returns the limit that was stated last, of those that hosts have named in requests. The
 // caller holds the lock.
 func (e *permitExchange) latestLimit(now time.Time, item permitItem) float64 {
-	named := lavfleet.Limit{Stated: true, PerSecond: item.PerSecond, At: now.Add(-item.Age)}
+	named := lavfleet.Limit{Stated: true, PerSecond: item.PerSecond, At: now.Add(-max(item.Age, 0))}
 	if named.At.After(e.limits[item.Bound].At) {
 		e.limits[item.Bound] = named
 		for bound, l := range e.limits {
@@ -194,16 +189,6 @@
 	return e.limits[item.Bound].PerSecond
 }
 
-// handleResponse accepts a holder's response.
-func (e *permitExchange) handleResponse(body []byte) {
-	var r permitResponse
-	if err := lavdatagram.Decode(body, &r); err != nil {
-		e.logger.Warn().Err(err).Msg("ignoring invalid permits")
-		return
-	}
-	e.accept(r)
-}
-
 // accept adds the permits of the first response to a request.
 func (e *permitExchange) accept(r permitResponse) {
 	e.mu.Lock()
--- a/lavhost/statements.go
+++ b/lavhost/statements.go
@@ -30,7 +30,7 @@
 }
 
 func (m limitMessage) limit() lavfleet.Limit {
-	return lavfleet.Limit{Stated: m.Stated, PerSecond: m.PerSecond, At: time.Now().Add(-m.Age)}
+	return lavfleet.Limit{Stated: m.Stated, PerSecond: m.PerSecond, At: time.Now().Add(-max(m.Age, 0))}
 }
 
 // TellLeaving implements lavrelay.Peers. A peer that misses the message learns of it from the
--- a/lavmesh/message.go
+++ b/lavmesh/message.go
@@ -55,7 +55,6 @@
 	TopicLimit
 	// TopicStatements requests what endpoints have stated.
 	TopicStatements
-	topicEnd
 )
 
 // version is the version of the message format.
--- a/lavmesh/topic_string.go
+++ b/lavmesh/topic_string.go
@@ -29,12 +29,11 @@
 	_ = x[TopicLeaving-18]
 	_ = x[TopicLimit-19]
 	_ = x[TopicStatements-20]
-	_ = x[topicEnd-21]
 }
 
-const _Topic_name = "topicNonePingReleaseCreditLoadQuarantineLedgerBurnReleasePullMemberViewOwnerCacheBeatNewsEntriesSuspicionCrashLeavingLimitStatementstopicEnd"
+const _Topic_name = "topicNonePingReleaseCreditLoadQuarantineLedgerBurnReleasePullMemberViewOwnerCacheBeatNewsEntriesSuspicionCrashLeavingLimitStatements"
 
-var _Topic_index = [...]uint8{0, 9, 13, 20, 26, 30, 40, 46, 50, 61, 67, 71, 76, 81, 85, 89, 96, 105, 110, 117, 122, 132, 140}
+var _Topic_index = [...]uint8{0, 9, 13, 20, 26, 30, 40, 46, 50, 61, 67, 71, 76, 81, 85, 89, 96, 105, 110, 117, 122, 132}
 
 func (i Topic) String() string {
 	idx := int(i) - 0
--- a/lavpermit/stock.go
+++ b/lavpermit/stock.go
@@ -31,8 +31,8 @@
 // MayAsk reports whether the host may ask again.
 func (s *Stock) MayAsk(now time.Time) bool { return !now.Before(s.askAt) }
 
-// LastAsk orders stocks by when they were asked for: it is later for one asked for later.
-func (s *Stock) LastAsk() time.Time { return s.askAt }
+// AskAt returns when the host may ask again.
+func (s *Stock) AskAt() time.Time { return s.askAt }
 
 // Add adds the answer to a question that was asked at askedAt.
 func (s *Stock) Add(now, askedAt time.Time, g Grant) {
--- a/lavrelay/limit_test.go
+++ b/lavrelay/limit_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"net/http"
 	"net/netip"
-	"strconv"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -106,14 +105,7 @@
 			b := newFixture(standin.RespondLimited(200, "ok", 0.1))
 			b.serveMany(lavconfig.KindUnsafe, 2)
 			b.grantPermits(0, 10*time.Second)
-			start := time.Now()
-			out := b.serve(context.Background(), b.call(lavconfig.KindUnsafe))
-			lavassert.Equal(t, "status", out.Code, http.StatusServiceUnavailable)
-			lavassert.AtMost(t, "time to the refusal", time.Since(start), 50*time.Millisecond)
-			retryAfter, err := strconv.ParseFloat(out.Header().Get("Retry-After"), 64)
-			lavassert.NoError(t, err)
-			lavassert.AtLeast(t, "seconds until the caller may return", retryAfter, 10)
-			lavassert.AtMost(t, "seconds until the caller may return", retryAfter, 20)
+			b.assertRefusedAtOnce(t, 10, 20)
 			b.sweep()
 		})
 	})
--- a/lavrelay/placement.go
+++ b/lavrelay/placement.go
@@ -6,7 +6,6 @@
 
 	"lavenderrack.example/lavenderrack/lavconfig"
 	"lavenderrack.example/lavenderrack/lavfleet"
-	"lavenderrack.example/lavenderrack/lavpermit"
 	"lavenderrack.example/lavenderrack/lavplan"
 )
 
@@ -38,15 +37,10 @@
 	start := time.Now()
 	availableWaitEnd := start.Add(time.Duration(float64(t.call.Route.Objective) * availableWaitFraction))
 	lateWaitEnd := t.call.Arrived.Add(t.call.Prompt.AbandonAfter() / 2)
-	waiting := &lavpermit.Waiting{Priority: t.call.Prompt.Priority(), Due: t.call.Arrived.Add(t.call.Route.Objective), Until: availableWaitEnd}
-	queued := false
-	defer func() {
-		if queued {
-			t.relay.fleet.Dequeue(t.call.Service, waiting)
-		}
-	}()
+	turn := t.newTurn(availableWaitEnd)
+	defer turn.leave()
 	for {
-		snapshot, ok := t.relay.fleet.SnapshotFor(t.call.Service, waiting, func(l lavconfig.Incarnation) bool { return t.tried[l] })
+		snapshot, ok := t.relay.fleet.SnapshotFor(t.call.Service, turn.waiting, func(l lavconfig.Incarnation) bool { return t.tried[l] })
 		if !ok {
 			return nil, OutcomeNoEndpoint
 		}
@@ -63,9 +57,8 @@
 			t.retryAfter = lavplan.RetryAfter(snapshot.Candidates, snapshot.Absence(), t.relay.draw)
 			return nil, OutcomeFull
 		}
-		if !ok && !queued {
-			t.relay.fleet.Enqueue(t.call.Service, waiting)
-			queued = true
+		if !ok {
+			turn.enter()
 		}
 		select {
 		case <-ctx.Done():
--- a/lavrelay/trace.go
+++ b/lavrelay/trace.go
@@ -24,7 +24,7 @@
 	// endpoints, or the refusal, was based.
 	candidates, inBackoff int
 	excluded              lavfleet.Exclusions
-	limitedBy             lavfleet.HeldLimit
+	limitedBy             lavfleet.BlockingLimit
 	backlog, expected     time.Duration
 	loadAge               time.Duration
 	// waited is how long the last attempt waited before it was sent.
--- a/lavrelay/unavailable_test.go
+++ b/lavrelay/unavailable_test.go
@@ -32,6 +32,20 @@
 	}
 }
 
+// assertRefusedAtOnce checks that a call is refused at once, and that its caller may return after a
+// time between two numbers of seconds.
+func (b *fixture) assertRefusedAtOnce(t *testing.T, least, most float64) {
+	t.Helper()
+	start := time.Now()
+	out := b.serve(context.Background(), b.call(lavconfig.KindUnsafe))
+	lavassert.Equal(t, "status", out.Code, http.StatusServiceUnavailable)
+	lavassert.AtMost(t, "time to the refusal", time.Since(start), 50*time.Millisecond)
+	retryAfter, err := strconv.ParseFloat(out.Header().Get("Retry-After"), 64)
+	lavassert.NoError(t, err)
+	lavassert.AtLeast(t, "seconds until the caller may return", retryAfter, least)
+	lavassert.AtMost(t, "seconds until the caller may return", retryAfter, most)
+}
+
 // sweep closes the connections to all endpoints.
 func (b *fixture) sweep() {
 	b.relay.pool.Sweep(func(netip.AddrPort) bool { return false })
@@ -100,14 +114,7 @@
 			b := newFixture(standin.RefuseFor(10 * time.Second))
 			b.serveMany(lavconfig.KindUnsafe, 1)
 			time.Sleep(time.Second)
-			start := time.Now()
-			out := b.serve(context.Background(), b.call(lavconfig.KindUnsafe))
-			lavassert.Equal(t, "status", out.Code, http.StatusServiceUnavailable)
-			lavassert.AtMost(t, "time to the refusal", time.Since(start), 50*time.Millisecond)
-			retryAfter, err := strconv.ParseFloat(out.Header().Get("Retry-After"), 64)
-			lavassert.NoError(t, err)
-			lavassert.AtLeast(t, "seconds until the caller may return", retryAfter, 9)
-			lavassert.AtMost(t, "seconds until the caller may return", retryAfter, 20)
+			b.assertRefusedAtOnce(t, 9, 20)
 			b.sweep()
 		})
 	})
