--- /dev/null
+++ b/review/standin/host.go
@@ -0,0 +1,255 @@
+//go:build review
+
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// Ports of an entry host. Each host has an address of its own.
+const (
+	portFront     = 8227
+	portReady     = 8220
+	portControl   = 8229
+	portDirectory = 8224
+	portMetrics   = "9464"
+	// seedHosts is how many hosts the settings name.
+	seedHosts = 3
+)
+
+// host is an entry host: a process of the project's program.
+type host struct {
+	d      *deployment
+	number int
+	name   string
+	zone   string
+	ip     netip.Addr
+	// storeAddr is the address at which the host reaches the store.
+	storeAddr netip.AddrPort
+	binary    string
+	command   *exec.Cmd
+	exited    chan struct{}
+
+	mu sync.Mutex
+	// startedAt is when the process was last started, and stoppingAt when it was told to stop.
+	startedAt, stoppingAt time.Time
+	running               bool
+	// readDraining is when the host first read from the store that a server is draining.
+	readDraining map[string]time.Time
+}
+
+func newHost(d *deployment, binary string, number int, zone string) *host {
+	return &host{d: d, number: number, readDraining: make(map[string]time.Time), name: fmt.Sprintf("front-%s-%d", zone, number+1), zone: zone, ip: loopback(byte(number + 1)), binary: binary}
+}
+
+// at returns the host's address with a port.
+func (h *host) at(port uint16) netip.AddrPort { return netip.AddrPortFrom(h.ip, port) }
+
+// settings returns the text of the settings file.
+func (h *host) settings() string {
+	var seeds []string
+	for _, other := range h.d.hosts[:seedHosts] {
+		seeds = append(seeds, fmt.Sprintf("%q", other.at(portControl).String()))
+	}
+	return fmt.Sprintf(`node_name = %q
+role = "entry"
+machine_class = "front"
+serves = ["front","control","directory"]
+ip = %q
+zone = %q
+region = "khomas"
+port_range = [7340,7355]
+seeds = [%s]
+bootstrap = true
+in_tolerance = false
+discovery = "platform"
+entry = "directory"
+heartbeat_ms = 1200
+policies = ["base","drain","config","cost","retry","recover","engine","stream","tenants","places","platform","spans"]
+[zones]
+khomas-a = "khomas"
+khomas-b = "khomas"
+khomas-c = "khomas"
+[bind]
+front_http = %q
+ready = %q
+control = %q
+directory = %q
+[limits]
+cpu_share = 0.4
+cores = 1
+memory_mb = 284
+max_fds = 4200
+link_mbps = 1000.0
+disk_mb = 0
+[fault_tolerance]
+machines = 2
+zones = 1
+regions = 0
+[bounds]
+seed_lag_s = 3
+reuse_after_s = 2
+contact_ms = 3000
+ack_ms = 4000
+sync_s = 4
+drain_ms = 2000
+grace_s = 8
+loss_slack_ms = 200
+config_apply_ms = 2000
+downgrade_ms = 250
+skew_max_ms = 5000
+strict_revoke = false
+revoke_ms = 5000
+retry_ratio = 0.2
+retry_window_s = 10
+retry_burst = 100
+cold_over = 1.5
+cold_slack = 5
+evacuate_ms = 5000
+recover_s = 12
+pass_ms = 120
+retry_after_s = 0
+stall_ms = 1500
+hold_max_ms = 20000
+free_ms = 4000
+idle_max_ms = 9000
+ttl_max_s = 5
+[provider]
+address = %q
+form = "kv"
+writes_per_s = 400
+reads_per_s = 2000
+history_s = 20
+value_bytes = 1048576
+ttl_min_ms = 1000
+`, h.name, h.ip, h.zone, strings.Join(seeds, ","), h.at(portFront), h.at(portReady), h.at(portControl), h.at(portDirectory), h.storeAddr)
+}
+
+// start starts the process.
+func (h *host) start() error {
+	path := filepath.Join(h.d.dir, h.name+".toml")
+	if err := os.WriteFile(path, []byte(h.settings()), 0o600); err != nil {
+		return err
+	}
+	out, err := os.OpenFile(filepath.Join(h.d.dir, h.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	// The process must not end with any context. Only stop and kill end it.
+	command := exec.CommandContext(context.Background(), h.binary, "entry", "-metrics", portMetrics)
+	command.Env = []string{"LAVENDERRACK_BOOT=" + path, "PATH=" + os.Getenv("PATH"), "GOMAXPROCS=1"}
+	command.Stdout, command.Stderr = out, out
+	if err := command.Start(); err != nil {
+		_ = out.Close()
+		return err
+	}
+	h.d.record.add("host %s starts", h.name)
+	exited := make(chan struct{})
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.command, h.exited, h.running, h.startedAt, h.stoppingAt = command, exited, true, time.Now(), time.Time{}
+	h.d.background.Go(func() {
+		err := command.Wait()
+		_ = out.Close()
+		h.mu.Lock()
+		h.running = false
+		h.mu.Unlock()
+		h.d.record.add("host %s has ended: %v", h.name, err)
+		close(exited)
+	})
+	return nil
+}
+
+// awaitReady waits until the host says that it is ready.
+func (h *host) awaitReady(ctx context.Context) error {
+	for ctx.Err() == nil {
+		if h.ready(ctx) {
+			h.d.record.add("host %s is ready", h.name)
+			return nil
+		}
+		if err := pause(ctx, 50*time.Millisecond); err != nil {
+			return err
+		}
+	}
+	return ctx.Err()
+}
+
+func (h *host) ready(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+h.at(portReady).String()+"/-/ready", nil)
+	if err != nil {
+		return false
+	}
+	response, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+// takesConsumers reports whether the process runs and was not told to stop.
+func (h *host) takesConsumers() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.running && h.stoppingAt.IsZero()
+}
+
+// inTouch reports whether the host has run undisturbed for contactTime.
+func (h *host) inTouch(at time.Time) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.running && h.stoppingAt.IsZero() && at.Sub(h.startedAt) > contactTime
+}
+
+// signal sends a signal to the process if it runs.
+func (h *host) signal(s syscall.Signal) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.running {
+		_ = h.command.Process.Signal(s)
+	}
+}
+
+// stop sends SIGTERM, and SIGKILL after the grace period.
+func (h *host) stop(ctx context.Context) error {
+	h.mu.Lock()
+	h.stoppingAt = time.Now()
+	h.mu.Unlock()
+	h.d.record.add("host %s gets SIGTERM", h.name)
+	h.signal(syscall.SIGTERM)
+	select {
+	case <-h.exited:
+		return nil
+	case <-time.After(graceTime):
+		h.kill()
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// kill ends the process if it runs.
+func (h *host) kill() {
+	h.signal(syscall.SIGKILL)
+	h.mu.Lock()
+	exited := h.exited
+	h.mu.Unlock()
+	if exited != nil {
+		<-exited
+	}
+}
+
+var errNoAddress = errors.New("no directory has answered")
