--- a/review/standin/crash.go
+++ b/review/standin/crash.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -13,6 +14,8 @@
 // crashRepeats is what a case knows of the request that crashes servers.
 type crashRepeats struct {
 	d *deployment
+	// path is that of the request.
+	path string
 
 	mu sync.Mutex
 	// inTouch says of each attempt whether its host was in touch when it was sent.
@@ -22,7 +25,7 @@
 // repeat sends the request that crashes servers once more to a host.
 func (c *crashRepeats) repeat(ctx context.Context, h *host) {
 	touch := h.inTouch(time.Now())
-	id, _ := c.d.send(ctx, h, pathLookup+"88/", crashMark)
+	id, _ := c.d.send(ctx, h, c.path, crashMark)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.inTouch[id] = touch
@@ -77,9 +80,9 @@
 	trafficCtx, stop := context.WithCancel(ctx)
 	defer stop()
 	sending := d.traffic(trafficCtx, 8, pathLookup, nil)
-	c := &crashRepeats{d: d, inTouch: make(map[string]bool)}
+	c := &crashRepeats{d: d, path: pathLookup + "88/", inTouch: make(map[string]bool)}
 	c.repeat(ctx, d.hosts[0])
-	if err := pause(ctx, downTime+2*time.Second); err != nil {
+	if err := pause(ctx, usualDownTime+2*time.Second); err != nil {
 		return nil, err
 	}
 	for _, h := range d.hosts {
@@ -104,7 +107,40 @@
 		}
 		c.repeat(ctx, h)
 		// The servers that have crashed come back.
-		if err := pause(ctx, downTime+500*time.Millisecond); err != nil {
+		if err := pause(ctx, usualDownTime+500*time.Millisecond); err != nil {
+			return nil, err
+		}
+	}
+	stop()
+	sending.Wait()
+	return c.check(), nil
+}
+
+// repeatInterval is the time between two retries of the request that crashes servers, and
+// sameIDTime how long they go on.
+const (
+	repeatInterval = time.Second
+	sameIDTime     = 60 * time.Second
+	// shortDownTime is how long servers are down after a crash in that case. Their first reports
+	// come before their old entries are removed.
+	shortDownTime = 2 * time.Second
+)
+
+// restartUnderSameID lets servers that have crashed start again under the ID that they had. The
+// request that crashes them comes again at a random host.
+func restartUnderSameID(ctx context.Context, d *deployment, trouble bool) ([]string, error) {
+	if err := d.prepare(ctx, 4, func(s *server) {
+		s.keepsID, s.downTime, s.firstBeat = trouble, shortDownTime, heartbeatInterval
+	}); err != nil {
+		return nil, err
+	}
+	trafficCtx, stop := context.WithCancel(ctx)
+	defer stop()
+	sending := d.traffic(trafficCtx, 20, pathLookup, nil)
+	c := &crashRepeats{d: d, path: pathPay + "88/", inTouch: make(map[string]bool)}
+	for until := time.Now().Add(sameIDTime); time.Now().Before(until); {
+		c.repeat(ctx, d.hosts[rand.IntN(len(d.hosts))])
+		if err := pause(ctx, repeatInterval); err != nil {
 			return nil, err
 		}
 	}
--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -53,9 +53,11 @@
 
 	mu      sync.Mutex
 	servers []*server
-	// entries are the servers' entries as the servers last wrote them.
-	entries map[string]string
-	version int
+	// entries are the servers' entries as the servers last wrote them, and reported when each last
+	// did so.
+	entries  map[string]string
+	reported map[string]time.Time
+	version  int
 	// away is true while the store takes no writes.
 	away bool
 
@@ -80,8 +82,9 @@
 			return nil, err
 		}
 	}
-	d := &deployment{record: r, store: standin.NewStore(), dir: dir, keepsLogs: logs != "", entries: make(map[string]string)}
+	d := &deployment{record: r, store: standin.NewStore(), dir: dir, keepsLogs: logs != "", entries: make(map[string]string), reported: make(map[string]time.Time)}
 	d.ending, d.end = context.WithCancel(ctx)
+	d.background.Go(d.expireEntries)
 	for i, zone := range hostZones {
 		h := newHost(d, binary, i, zone)
 		d.hosts = append(d.hosts, h)
@@ -199,7 +202,11 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	entry := s.entry()
-	if d.away || d.entries[s.id] == entry {
+	if d.away {
+		return
+	}
+	d.reported[s.id] = time.Now()
+	if d.entries[s.id] == entry {
 		return
 	}
 	d.entries[s.id] = entry
@@ -218,6 +225,11 @@
 func (d *deployment) unregister(id string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.remove(id)
+}
+
+// remove removes the entry of a server. The caller holds the lock.
+func (d *deployment) remove(id string) {
 	if _, ok := d.entries[id]; !ok {
 		return
 	}
@@ -226,6 +238,19 @@
 	d.record.add("entry of server %s is removed", id)
 }
 
+// expireEntries removes the entries of servers that are silent, until the deployment ends.
+func (d *deployment) expireEntries() {
+	for pause(d.ending, heartbeatInterval/20) == nil {
+		d.mu.Lock()
+		for id := range d.entries {
+			if !d.away && time.Since(d.reported[id]) > silentHeartbeats*heartbeatInterval {
+				d.remove(id)
+			}
+		}
+		d.mu.Unlock()
+	}
+}
+
 // newID returns a random identifier.
 func newID(prefix string) string { return fmt.Sprintf("%s%016x", prefix, rand.Uint64()) }
 
--- a/review/standin/host.go
+++ b/review/standin/host.go
@@ -148,7 +148,7 @@
 	}
 	// The process must not end with any context. Only stop and kill end it.
 	command := exec.CommandContext(context.Background(), h.binary, "entry", "-metrics", portMetrics)
-	command.Env = []string{"LAVENDERRACK_BOOT=" + path, "PATH=" + os.Getenv("PATH"), "GOMAXPROCS=1"}
+	command.Env = []string{"LAVENDERRACK_BOOT=" + path, "PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME")}
 	command.Stdout, command.Stderr = out, out
 	if err := command.Start(); err != nil {
 		_ = out.Close()
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -33,6 +33,7 @@
 	"unstamped": unstampedSuccess,
 	"restart":   restartAfterBlock,
 	"drill":     drillWhileDraining,
+	"sameid":    restartUnderSameID,
 }
 
 func main() {
--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -19,10 +19,10 @@
 	serverSlots = 6
 	// workTime is how long a request runs.
 	workTime = 60 * time.Millisecond
-	// crashDelay is how long a request that crashes its server runs, and downTime how long the
+	// crashDelay is how long a request that crashes its server runs, and usualDownTime how long the
 	// server is down then.
-	crashDelay = 20 * time.Millisecond
-	downTime   = 3 * time.Second
+	crashDelay    = 20 * time.Millisecond
+	usualDownTime = 3 * time.Second
 	// crashMark is in the body of a request that crashes each server which runs it.
 	crashMark = "crashes-servers"
 	// headerVia names the host that a consumer has sent its request to. Hosts forward it like any
@@ -39,12 +39,16 @@
 	body   string
 }
 
-// server is one server of the service, at one address. It may start several times, each time under a
-// new ID.
+// server is one server of the service, at one address. It may start several times.
 type server struct {
 	d    *deployment
 	zone string
 	addr netip.AddrPort
+	// downTime is how long the server is down after a crash, and firstBeat how long after that it
+	// writes its entry.
+	downTime, firstBeat time.Duration
+	// keepsID is true if the server starts again under the ID that it had.
+	keepsID bool
 	// answer, if set, answers a request in place of the usual answer. It returns false to leave
 	// that to the server.
 	answer func(w http.ResponseWriter, r *http.Request) bool
@@ -54,11 +58,13 @@
 	born     int64
 	draining bool
 	up       bool
-	http     *http.Server
-	conns    map[net.Conn]bool
-	arrivals []arrival
-	crashes  []time.Time
-	running  atomic.Int64
+	// reporting is true once the incarnation has written its entry.
+	reporting bool
+	http      *http.Server
+	conns     map[net.Conn]bool
+	arrivals  []arrival
+	crashes   []time.Time
+	running   atomic.Int64
 	// beat is the number of heartbeats.
 	beat atomic.Int64
 }
@@ -73,11 +79,12 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &server{d: d, zone: zone, addr: netip.MustParseAddrPort(l.Addr().String())}
+	s := &server{d: d, zone: zone, downTime: usualDownTime, addr: netip.MustParseAddrPort(l.Addr().String())}
 	d.mu.Lock()
 	d.servers = append(d.servers, s)
 	d.mu.Unlock()
 	s.serve(l)
+	s.setReporting(true)
 	d.register(s)
 	d.background.Go(s.heartbeat)
 	return s, nil
@@ -87,7 +94,9 @@
 func (s *server) serve(l net.Listener) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.id = newID("i-")
+	if s.id == "" || !s.keepsID {
+		s.id = newID("i-")
+	}
 	s.born = time.Now().UnixMilli()
 	s.draining, s.up, s.conns = false, true, make(map[net.Conn]bool)
 	s.http = &http.Server{Handler: s, ReadHeaderTimeout: 5 * time.Second, IdleTimeout: 15 * time.Second, ConnState: s.track}
@@ -129,7 +138,7 @@
 			return
 		case <-tick.C:
 		}
-		if s.isUp() {
+		if s.reports() {
 			s.d.register(s)
 			s.beat.Add(1)
 		}
@@ -143,10 +152,17 @@
 	}
 }
 
-func (s *server) isUp() bool {
+// reports reports whether the server is up and writes its entry.
+func (s *server) reports() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.up && s.reporting
+}
+
+func (s *server) setReporting(reporting bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.up
+	s.reporting = reporting
 }
 
 // drain makes the server say that it leaves, in its entry and in all its answers. It returns when
@@ -182,18 +198,17 @@
 		s.mu.Unlock()
 		return
 	}
-	s.up = false
+	s.up, s.reporting = false, false
 	id := s.id
-	s.crashes = append(s.crashes, time.Now())
 	s.mu.Unlock()
 	s.d.record.add("server %s crashes", id)
 	s.shut()
-	s.d.background.Go(func() { s.restart(id) })
+	s.d.background.Go(s.restart)
 }
 
-// restart starts the server again, and removes the entry of an ID that is silent.
-func (s *server) restart(id string) {
-	if pause(s.d.ending, downTime) != nil {
+// restart starts the server again.
+func (s *server) restart() {
+	if pause(s.d.ending, s.downTime) != nil {
 		return
 	}
 	var config net.ListenConfig
@@ -203,10 +218,11 @@
 		return
 	}
 	s.serve(l)
-	s.d.register(s)
-	if pause(s.d.ending, silentHeartbeats*heartbeatInterval-downTime) == nil {
-		s.d.unregister(id)
+	if pause(s.d.ending, s.firstBeat) != nil {
+		return
 	}
+	s.setReporting(true)
+	s.d.register(s)
 }
 
 // ServeHTTP implements http.Handler.
