--- a/review/standin/crash.go
+++ b/review/standin/crash.go
@@ -130,7 +130,7 @@
 // request that crashes them comes again at a random host.
 func restartUnderSameID(ctx context.Context, d *deployment, trouble bool) ([]string, error) {
 	if err := d.prepare(ctx, 4, func(s *server) {
-		s.keepsID, s.downTime, s.firstBeat = trouble, shortDownTime, heartbeatInterval
+		s.keepsID, s.downTime, s.firstBeat = trouble, shortDownTime, heartbeatInterval/2
 	}); err != nil {
 		return nil, err
 	}
--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -170,8 +170,9 @@
 
 // Paths of the routes.
 const (
-	pathLookup = "/cuti104/"
-	pathPay    = "/puxa403/"
+	pathLookup  = "/cuti104/"
+	pathPay     = "/puxa403/"
+	pathCaption = "/lohu930/"
 )
 
 // publishConfig writes the first desired state.
@@ -184,6 +185,7 @@
 		"routes": []route{
 			{Name: "order-lookup", Host: hostName, PathPrefix: pathLookup, RouteType: "safe", TimeoutMS: 800, GoalMS: 300, Priority: 2, Backend: service, MaxAttempts: 2},
 			{Name: "pay-deliver", Host: hostName, PathPrefix: pathPay, RouteType: "unsafe", TimeoutMS: 800, GoalMS: 300, Priority: 2, Backend: service, MaxAttempts: 1},
+			{Name: "caption-prompt", Host: hostName, PathPrefix: pathCaption, RouteType: "streaming", TimeoutMS: 10000, GoalMS: 300, GapAimMS: 200, Priority: 1, Backend: service, MaxAttempts: 2, Resumable: true},
 		},
 		"services": []map[string]any{{"name": service, "health_path": "/health", "max_conns": 96, "warmup_s": 0, "warmup_per_s": 0}},
 		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 5000, "idle_timeout_ms": 15000},
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -34,6 +34,7 @@
 	"restart":   restartAfterBlock,
 	"drill":     drillWhileDraining,
 	"sameid":    restartUnderSameID,
+	"silence":   silenceDuringStop,
 }
 
 func main() {
--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -83,15 +83,14 @@
 	d.mu.Lock()
 	d.servers = append(d.servers, s)
 	d.mu.Unlock()
-	s.serve(l)
-	s.setReporting(true)
+	s.beginReporting(s.serve(l))
 	d.register(s)
 	d.background.Go(s.heartbeat)
 	return s, nil
 }
 
-// serve begins a new incarnation on a listener.
-func (s *server) serve(l net.Listener) {
+// serve begins a new incarnation on a listener, and returns when it was born.
+func (s *server) serve(l net.Listener) int64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.id == "" || !s.keepsID {
@@ -103,6 +102,7 @@
 	served := s.http
 	s.d.record.add("server %s starts at %s, born %d", s.id, s.addr, s.born)
 	s.d.background.Go(func() { _ = served.Serve(l) })
+	return s.born
 }
 
 // track keeps the open connections.
@@ -159,10 +159,20 @@
 	return s.up && s.reporting
 }
 
-func (s *server) setReporting(reporting bool) {
+// currentID returns the ID of the current incarnation.
+func (s *server) currentID() string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.reporting = reporting
+	return s.id
+}
+
+// beginReporting makes the incarnation that was born at a time write its entry. It returns false if it
+// has ended.
+func (s *server) beginReporting(born int64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reporting = s.reporting || s.up && s.born == born
+	return s.up && s.born == born
 }
 
 // drain makes the server say that it leaves, in its entry and in all its answers. It returns when
@@ -217,12 +227,10 @@
 		s.d.record.add("server at %s could not start again: %v", s.addr, err)
 		return
 	}
-	s.serve(l)
-	if pause(s.d.ending, s.firstBeat) != nil {
-		return
+	born := s.serve(l)
+	if pause(s.d.ending, s.firstBeat) == nil && s.beginReporting(born) {
+		s.d.register(s)
 	}
-	s.setReporting(true)
-	s.d.register(s)
 }
 
 // ServeHTTP implements http.Handler.
