--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -260,6 +261,7 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	r.Body = io.NopCloser(bytes.NewReader(body))
 	if s.answer != nil && s.answer(w, r) {
 		return
 	}
--- a/review/standin/silence.go
+++ b/review/standin/silence.go
@@ -13,8 +13,7 @@
 	"time"
 )
 
-// Shape of the streams, as on the sheet of the Glyph Works: events that come evenly, but for one
-// pause. A consumer leaves after patience without an event.
+// Shape of the streams, as on the sheet of the Glyph Works: events that come evenly, but for a pause. A consumer leaves after patience without an event.
 const (
 	streamEvents  = 35
 	eventInterval = 30 * time.Millisecond
@@ -25,20 +24,27 @@
 	streamDeadline = 10 * time.Second
 )
 
-// streams is how many streams run at the host that stops, and stopAfter how long they have run then.
+// streams is how many streams run at the host that stops, each started streamGap after the one before.
 const (
 	streams   = 6
-	stopAfter = 200 * time.Millisecond
+	streamGap = 50 * time.Millisecond
 )
 
-// answerStream streams events from the one after Last-Event-Id on. If it pauses, the first run of a
-// stream does so as one that is preempted for want of memory.
+// newestBody is the body of the newest stream.
+const newestBody = "caption, the newest"
+
+// answerStream streams events from the one after Last-Event-Id on. If there are pauses, the first run of
+// the newest stream pauses, as one does that is preempted for want of memory.
 func answerStream(s *server, pauses bool) func(w http.ResponseWriter, r *http.Request) bool {
 	return func(w http.ResponseWriter, r *http.Request) bool {
 		if !strings.HasPrefix(r.URL.Path, pathCaption) {
 			return false
 		}
 		id := r.Header.Get("X-Request-Id")
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			return true
+		}
 		last, err := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 		if err != nil {
 			last = 0
@@ -51,7 +57,7 @@
 			_, _ = fmt.Fprintf(w, "id: %d\ndata: piece %d\n\n", event, event)
 			_ = control.Flush()
 			wait := eventInterval
-			if pauses && event == pauseAfter && last == 0 {
+			if pauses && string(body) == newestBody && event == pauseAfter && last == 0 {
 				wait = streamPause
 			}
 			select {
@@ -68,10 +74,10 @@
 
 // stream sends a request for a stream to a host, and returns how many events came, why the answer
 // ended, and whether the consumer left.
-func (d *deployment) stream(ctx context.Context, h *host, id string) (events int, ended error, left bool) {
+func (d *deployment) stream(ctx context.Context, h *host, id, body string) (events int, ended error, left bool) {
 	ctx, cancel := context.WithTimeout(ctx, streamDeadline)
 	defer cancel()
-	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+h.at(portFront).String()+pathCaption+"1", strings.NewReader("caption "+id))
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+h.at(portFront).String()+pathCaption+"1", strings.NewReader(body))
 	if err != nil {
 		return 0, err, false
 	}
@@ -105,7 +111,7 @@
 }
 
 // silenceDuringStop stops a host on which streams run. One of the two servers of the service drains, so
-// that there is no other one to which the streams can move. The disruption is that they pause.
+// that there is no other one to which the streams can move. The disruption is that one of them pauses.
 func silenceDuringStop(ctx context.Context, d *deployment, trouble bool) ([]string, error) {
 	if err := d.prepare(ctx, 2, func(s *server) { s.answer = answerStream(s, trouble) }); err != nil {
 		return nil, err
@@ -118,10 +124,14 @@
 	var mu sync.Mutex
 	var broken []string
 	var running sync.WaitGroup
-	for range streams {
+	for i := range streams {
+		body := "caption " + newID("")
+		if i == streams-1 {
+			body = newestBody
+		}
 		running.Go(func() {
 			id := newID("")
-			events, err, left := d.stream(ctx, h, id)
+			events, err, left := d.stream(ctx, h, id, body)
 			d.record.add("stream %s has ended after %d of %d events, error %v, consumer left: %v", id, events, streamEvents, err, left)
 			if left || err == nil && events == streamEvents {
 				return
@@ -130,9 +140,9 @@
 			defer mu.Unlock()
 			broken = append(broken, fmt.Sprintf("LOST: stream %s was cut after %d of %d events: %v", id, events, streamEvents, err))
 		})
-	}
-	if err := pause(ctx, stopAfter); err != nil {
-		return nil, err
+		if err := pause(ctx, streamGap); err != nil {
+			return nil, err
+		}
 	}
 	if err := h.stop(ctx); err != nil {
 		return nil, err
