--- a/review/standin/consumer.go
+++ b/review/standin/consumer.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"math/rand/v2"
 	"net/http"
@@ -58,6 +59,9 @@
 	return answer{status: response.StatusCode, stamp: response.Header.Get("X-Server-Stamp"), body: string(text), err: err}
 }
 
+// errNoAddress means that a consumer doesn't know where to send a request.
+var errNoAddress = errors.New("no directory has answered")
+
 // resolve asks a directory which hosts take consumers.
 func (d *deployment) resolve(ctx context.Context) ([]*host, error) {
 	for _, i := range rand.Perm(len(d.hosts))[:seedHosts] {
--- a/review/standin/crash.go
+++ b/review/standin/crash.go
@@ -129,7 +129,7 @@
 // restartUnderSameID lets servers that have crashed start again under the ID that they had. The
 // request that crashes them comes again at a random host.
 func restartUnderSameID(ctx context.Context, d *deployment, trouble bool) ([]string, error) {
-	if err := d.prepare(ctx, 4, func(s *server) {
+	if err := d.prepare(ctx, 6, func(s *server) {
 		s.keepsID, s.downTime, s.firstBeat = trouble, shortDownTime, heartbeatInterval/2
 	}); err != nil {
 		return nil, err
--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -73,7 +73,7 @@
 	return netip.AddrFrom4([4]byte{network[0], network[1], network[2], last})
 }
 
-// newDeployment starts the store. The cases add servers and hosts.
+// newDeployment starts the store. The cases start servers and hosts.
 func newDeployment(ctx context.Context, binary, logs string, r *record) (*deployment, error) {
 	dir := logs
 	if dir == "" {
@@ -187,7 +187,7 @@
 			{Name: "pay-deliver", Host: hostName, PathPrefix: pathPay, RouteType: "unsafe", TimeoutMS: 800, GoalMS: 300, Priority: 2, Backend: service, MaxAttempts: 1},
 			{Name: "caption-prompt", Host: hostName, PathPrefix: pathCaption, RouteType: "streaming", TimeoutMS: 10000, GoalMS: 300, GapAimMS: 200, Priority: 1, Backend: service, MaxAttempts: 2, Resumable: true},
 		},
-		"services": []map[string]any{{"name": service, "health_path": "/health", "max_conns": 96, "warmup_s": 0, "warmup_per_s": 0}},
+		"services": []map[string]any{{"name": service, "health_path": healthPath, "max_conns": 96, "warmup_s": 0, "warmup_per_s": 0}},
 		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 5000, "idle_timeout_ms": 15000},
 		"tenants":  []map[string]any{{"name": tenant, "api_keys": []string{apiKey}}},
 	}
--- a/review/standin/host.go
+++ b/review/standin/host.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"net/http"
 	"net/netip"
@@ -251,5 +250,3 @@
 		<-exited
 	}
 }
-
-var errNoAddress = errors.New("no directory has answered")
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -12,6 +12,8 @@
 	"flag"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 )
 
@@ -59,7 +61,10 @@
 		return exitCannotRun
 	}
 	defer r.close()
-	ctx, cancel := context.WithTimeout(context.Background(), caseTimeout)
+	// A signal ends the case, so that the hosts' processes are ended, too.
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	ctx, cancel := context.WithTimeout(ctx, caseTimeout)
 	defer cancel()
 	r.add("case %s, disruption: %v", name, trouble)
 	d, err := newDeployment(ctx, binary, logs, r)
--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -26,6 +26,8 @@
 	usualDownTime = 3 * time.Second
 	// crashMark is in the body of a request that crashes each server which runs it.
 	crashMark = "crashes-servers"
+	// healthPath is the path of health checks.
+	healthPath = "/health"
 	// headerVia names the host that a consumer has sent its request to. Hosts forward it like any
 	// other header, so that servers can tell which host a request comes from.
 	headerVia = "Review-Via"
@@ -64,7 +66,6 @@
 	http      *http.Server
 	conns     map[net.Conn]bool
 	arrivals  []arrival
-	crashes   []time.Time
 	running   atomic.Int64
 	// beat is the number of heartbeats.
 	beat atomic.Int64
@@ -252,6 +253,12 @@
 		header.Set("X-Request-Id", requestID)
 	}
 	header.Set("X-Instance-Id", id)
+	if r.Method == http.MethodGet && r.URL.Path == healthPath {
+		if draining {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+		return
+	}
 	switch expected := r.Header.Get("X-Expect-Instance"); {
 	case expected != "" && expected != id:
 		w.WriteHeader(http.StatusMisdirectedRequest)
