--- a/review/standin/crash.go
+++ b/review/standin/crash.go
@@ -121,6 +121,8 @@
 const (
 	repeatInterval = time.Second
 	sameIDTime     = 60 * time.Second
+	// sameIDTraffic is the number of other requests a second in that case.
+	sameIDTraffic = 45
 	// shortDownTime is how long servers are down after a crash in that case. Their first reports
 	// come before their old entries are removed.
 	shortDownTime = 2 * time.Second
@@ -136,7 +138,7 @@
 	}
 	trafficCtx, stop := context.WithCancel(ctx)
 	defer stop()
-	sending := d.traffic(trafficCtx, 20, pathLookup, nil)
+	sending := d.traffic(trafficCtx, sameIDTraffic, pathLookup, nil)
 	c := &crashRepeats{d: d, path: pathPay + "88/", inTouch: make(map[string]bool)}
 	for until := time.Now().Add(sameIDTime); time.Now().Before(until); {
 		c.repeat(ctx, d.hosts[rand.IntN(len(d.hosts))])
