--- a/lavfleet/budget.go
+++ b/lavfleet/budget.go
@@ -27,15 +27,32 @@
 	return &budget{requests: window{span: span}, retries: window{span: span + span/10}, countingSince: now}
 }
 
-// spend counts one retry and returns true if the host's share allows it.
-func (b *budget) spend(now time.Time, bounds BudgetBounds, hosts int) bool {
-	allowed := bounds.Ratio * float64(b.requests.count(now))
+// RetryShare is this host's share of a service's retry budget.
+type RetryShare struct {
+	// Sent is the number of retries in the window, and Allowed what it may reach.
+	Sent    int
+	Allowed float64
+	// Hosts is the number by which the burst is divided.
+	Hosts int
+}
+
+// Exhausted reports whether the share allows no further retry.
+func (s RetryShare) Exhausted() bool { return float64(s.Sent+1) > s.Allowed }
+
+// share returns the host's share at a time.
+func (b *budget) share(now time.Time, bounds BudgetBounds, hosts int) RetryShare {
+	s := RetryShare{Sent: b.retries.count(now), Allowed: bounds.Ratio * float64(b.requests.count(now)), Hosts: max(hosts, 1)}
 	if now.Sub(b.countingSince) >= bounds.Window {
-		allowed += bounds.Burst / float64(max(hosts, 1))
+		s.Allowed += bounds.Burst / float64(s.Hosts)
 	}
-	if float64(b.retries.count(now)+1) > allowed {
-		return false
+	return s
+}
+
+// spend counts one retry if the host's share allows it, and returns the share before it.
+func (b *budget) spend(now time.Time, bounds BudgetBounds, hosts int) RetryShare {
+	s := b.share(now, bounds, hosts)
+	if !s.Exhausted() {
+		b.retries.add(now)
 	}
-	b.retries.add(now)
-	return true
+	return s
 }
--- a/lavfleet/fleet.go
+++ b/lavfleet/fleet.go
@@ -194,6 +194,13 @@
 	}
 }
 
+// Hosts returns the number of hosts among which the bounds are divided.
+func (f *Fleet) Hosts() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.hosts
+}
+
 // SetPeerReport replaces the load of all other hosts.
 func (f *Fleet) SetPeerReport(r Report) {
 	now := time.Now()
@@ -285,10 +292,15 @@
 	return nil
 }
 
-// SpendRetry takes one retry from a service's retry budget, or returns false.
-func (f *Fleet) SpendRetry(name string) bool {
+// SpendRetry takes one retry from a service's retry budget and returns the share from which it
+// was taken, or false if that is exhausted.
+func (f *Fleet) SpendRetry(name string) (RetryShare, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	svc := f.services[name]
-	return svc != nil && svc.budget.spend(time.Now(), f.bounds.Retry, f.hosts)
+	if svc == nil {
+		return RetryShare{}, false
+	}
+	share := svc.budget.spend(time.Now(), f.bounds.Retry, f.hosts)
+	return share, !share.Exhausted()
 }
--- a/lavfleet/fleet_test.go
+++ b/lavfleet/fleet_test.go
@@ -139,6 +139,11 @@
 	return fleets
 }
 
+func spendRetry(f *Fleet, service string) bool {
+	_, ok := f.SpendRetry(service)
+	return ok
+}
+
 func TestRetryBudget(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const hosts = 7
@@ -153,13 +158,13 @@
 				f.CountRequest("m")
 				requests++
 			}
-			for f.SpendRetry("m") {
+			for spendRetry(f, "m") {
 				spent++
 			}
 		}
 		lavassert.AtMost(t, "retries of all hosts", float64(spent), testBounds.Retry.Ratio*float64(requests)+testBounds.Retry.Burst)
 		lavassert.AtLeast(t, "retries of all hosts", spent, requests/5)
-		lavassert.True(t, "unknown service has no retry budget", !testFleet(1).SpendRetry("unknown"))
+		lavassert.True(t, "unknown service has no retry budget", !spendRetry(testFleet(1), "unknown"))
 	})
 }
 
@@ -184,7 +189,7 @@
 					f.CountRequest("m")
 					requests++
 				}
-				for f.SpendRetry("m") {
+				for spendRetry(f, "m") {
 					spent++
 				}
 			}
--- a/lavrelay/metrics.go
+++ b/lavrelay/metrics.go
@@ -18,6 +18,9 @@
 	// leaving, leftAlone and limited count the statements of endpoints that they will leave,
 	// want no requests for a time, or take a limited number of requests.
 	leaving, leftAlone, limited tally.Counter
+	// retried counts the retries taken from retry budgets, and notRetried those that a budget did
+	// not allow.
+	retried, notRetried tally.Counter
 	// unknown counts the statements that this version doesn't know.
 	unknown tally.Counter
 	// missed counts the calls that missed what their route promises.
@@ -43,6 +46,8 @@
 		firstEvent: s.Histogram("first_event", buckets),
 		took:       s.Histogram("took", buckets),
 	}
+	retries := scope.SubScope("retries")
+	c.retried, c.notRetried = retries.Counter("sent"), retries.Counter("denied")
 	endpoints := scope.SubScope("endpoints")
 	c.leaving, c.leftAlone = endpoints.Counter("leaving_stated"), endpoints.Counter("left_alone")
 	c.limited = endpoints.Counter("limits_stated")
@@ -72,3 +77,12 @@
 		c.firstEvent.RecordDuration(t.trace.firstEvent)
 	}
 }
+
+// countRetry counts a retry that the service's budget allowed or not.
+func (c *metrics) countRetry(allowed bool) {
+	if allowed {
+		c.retried.Inc(1)
+		return
+	}
+	c.notRetried.Inc(1)
+}
--- a/lavrelay/relay.go
+++ b/lavrelay/relay.go
@@ -163,7 +163,7 @@
 			chosen.run.End(lavfleet.VerdictNone)
 			return t.giveUp(ctx, OutcomeSuspect)
 		}
-		if t.arrivals > 0 && !t.relay.fleet.SpendRetry(t.call.Service) {
+		if t.arrivals > 0 && !t.spendRetry() {
 			chosen.run.End(lavfleet.VerdictNone)
 			return t.giveUp(ctx, OutcomeBudget)
 		}
@@ -181,6 +181,14 @@
 	}
 }
 
+// spendRetry takes a retry from the service's budget, or reports false if that is exhausted.
+func (t *task) spendRetry() bool {
+	share, ok := t.relay.fleet.SpendRetry(t.call.Service)
+	t.trace.retryShare = share
+	t.relay.metrics.countRetry(ok)
+	return ok
+}
+
 // hasTried reports whether an endpoint was the primary one of an earlier attempt.
 func (t *task) hasTried(life lavconfig.Incarnation) bool { return t.tried[life] }
 
--- a/lavrelay/trace.go
+++ b/lavrelay/trace.go
@@ -54,6 +54,8 @@
 	// limit is what the endpoint of the last response states to take from all hosts, in
 	// requests per second. It is empty if the response states no limit.
 	limit string
+	// retryShare is this host's share of the retry budget at the last retry, or when it was denied.
+	retryShare lavfleet.RetryShare
 }
 
 func (t *trace) recordAttempt(c *placement) {
@@ -99,6 +101,13 @@
 		l.Life.ID, l.Limit.PerSecond, time.Since(l.Limit.At).Round(limitAgeUnit), l.PerSecond)
 }
 
+// describeRetryShare returns the share of the retry budget at the last retry, such as "3 of 17.2, burst
+// divided by 30".
+func (t *trace) describeRetryShare() string {
+	s := t.retryShare
+	return fmt.Sprintf("%d of %.3g, burst divided by %d", s.Sent, s.Allowed, s.Hosts)
+}
+
 func (t *trace) recordError(err error) { t.failure = err.Error() }
 
 // recordWrite records the time at which bytes of a stream were sent to the caller.
@@ -167,5 +176,8 @@
 	if miss.Cause != lavcause.CauseNone {
 		t.addMiss(line, miss)
 	}
+	if t.trace.retryShare.Hosts > 0 {
+		line.Str("RetryShare", t.trace.describeRetryShare())
+	}
 	line.Msg("request")
 }
