--- a/lavhost/fleetemulator_test.go
+++ b/lavhost/fleetemulator_test.go
@@ -170,6 +170,12 @@
 // startFleetOf is startFleetWith for hosts with other settings, which follow from the index and the
 // failure domain of a host.
 func startFleetOf(t *testing.T, n int, store *standin.Store, dial lavconn.Dialer, settingsOf func(i int, domain string) platform.Settings) *emulatedFleet {
+	t.Helper()
+	return startSomeOfFleet(t, n, 0, store, dial, settingsOf)
+}
+
+// startSomeOfFleet is startFleetOf for a fleet of which the last hosts start later, with startLater.
+func startSomeOfFleet(t *testing.T, n, later int, store *standin.Store, dial lavconn.Dialer, settingsOf func(i int, domain string) platform.Settings) *emulatedFleet {
 	t.Helper()
 	network := lavfakenet.New(1, func(_, _ lavfakenet.HostInfo) lavfakenet.Link {
 		return lavfakenet.Link{Delay: 3 * time.Millisecond}
@@ -189,12 +195,33 @@
 		return f.startHost(ctx, i, s, network.Host(lavfakenet.HostInfo{Host: s.Host, FailureDomain: s.FailureDomain}), datagrams.listen(s.Datagrams))
 	}
 	f.hosts, f.stopHost, f.hostEnded = make([]*Host, n), make([]context.CancelFunc, n), make([]chan struct{}, n)
-	for i := range n {
+	for i := range n - later {
 		f.hosts[i] = f.start(i)
 	}
 	return f
 }
 
+// startLater starts the hosts that have not started with the others.
+func (f *emulatedFleet) startLater() {
+	for i, h := range f.hosts {
+		if h == nil {
+			f.hosts[i] = f.start(i)
+		}
+	}
+}
+
+// kill ends hosts without a word: they can reach nobody any more.
+func (f *emulatedFleet) kill(hosts ...int) {
+	for _, i := range hosts {
+		f.network.SetDown(emulatedHost(i), true)
+		f.stopHost[i]()
+	}
+	for _, i := range hosts {
+		<-f.hostEnded[i]
+		f.hosts[i] = nil
+	}
+}
+
 // maxHostStarts bounds how often hosts of an emulated fleet may start.
 const maxHostStarts = 1024
 
@@ -222,10 +249,12 @@
 	return f.hosts[i]
 }
 
+func emulatedHost(i int) string { return fmt.Sprint("host-", i) }
+
 func emulatedSettings(i int, domain string) platform.Settings {
 	address := netip.AddrFrom4([4]byte{10, 1, byte(i / 250), byte(1 + i%250)})
 	return platform.Settings{
-		Host:          fmt.Sprint("host-", i),
+		Host:          emulatedHost(i),
 		FailureDomain: domain,
 		Address:       address,
 		Callers:       netip.AddrPortFrom(address, emulatedCallers),
@@ -276,9 +305,9 @@
 
 // isolate cuts a host off from all other hosts, without ending its connections, or ends that.
 func (f *emulatedFleet) isolate(i int, isolated bool) {
-	for j, other := range f.hosts {
+	for j := range f.hosts {
 		if j != i {
-			f.network.SetPartitioned(f.hosts[i].settings.Host, other.settings.Host, isolated)
+			f.network.SetPartitioned(emulatedHost(i), emulatedHost(j), isolated)
 		}
 	}
 }
