Divide the burst of retry budgets among the hosts that may still use their share (BUDGET)

Cause: each host divided the burst by the hosts that it could hear, nine at the least. Hosts that were cut off from each other took the others for gone, and hosts that had ended left the whole to the others while what they had sent was still in the window.

The heartbeat carries the count. Why this works: at any time the shares in use add up to no more than the whole, whatever each host can hear; and what was sent under an earlier division has left the window before a larger one is used.

--- a/lavfleet/fleet.go
+++ b/lavfleet/fleet.go
@@ -45,6 +45,7 @@
 	// hosts is the number of hosts that may send requests, and index identifies this
 	// host among them.
 	hosts, index int
+	burst        burstDivision
 	// startedAt is when this host began to count.
 	startedAt time.Time
 	// changed signals changes that peers should learn of at once, and permitsNeeded that
@@ -112,6 +113,7 @@
 		outOfService: make(map[string]bool),
 		statements:   make(map[lavconfig.Incarnation]statement),
 		hosts:        1,
+		burst:        burstDivision{hosts: 1, mayUse: true},
 		startedAt:    time.Now(),
 		changed:      make(chan struct{}, 1),
 
@@ -164,7 +166,7 @@
 func (f *Fleet) updateServices(services []lavconfig.Service) {
 	next := make(map[string]*service, len(services))
 	for _, s := range services {
-		svc := &service{budget: newBudget(f.startedAt, f.bounds.Retry.Window), arrivals: &window{span: demandWindow}, queue: &lavpermit.Queue{}}
+		svc := &service{budget: newBudget(f.startedAt, f.bounds.Retry), arrivals: &window{span: demandWindow}, queue: &lavpermit.Queue{}}
 		if previous := f.services[s.Name]; previous != nil {
 			*svc = *previous
 		}
@@ -194,11 +196,19 @@
 	}
 }
 
-// Hosts returns the number of hosts among which the bounds are divided.
-func (f *Fleet) Hosts() int {
+// SetRetryHosts sets the number of hosts among which the burst of retry budgets is divided, and
+// whether this host may use its part.
+func (f *Fleet) SetRetryHosts(n int, mayUse bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.hosts
+	f.burst = burstDivision{hosts: max(n, 1), mayUse: mayUse}
+}
+
+// RetryHosts returns the number of hosts among which the burst of retry budgets is divided.
+func (f *Fleet) RetryHosts() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.burst.hosts
 }
 
 // SetPeerReport replaces the load of all other hosts.
@@ -301,6 +311,6 @@
 	if svc == nil {
 		return RetryShare{}, false
 	}
-	share := svc.budget.spend(time.Now(), f.bounds.Retry, f.hosts)
+	share := svc.budget.spend(time.Now(), f.bounds.Retry, f.burst)
 	return share, !share.Exhausted()
 }
--- a/lavfleet/fleet_test.go
+++ b/lavfleet/fleet_test.go
@@ -34,6 +34,7 @@
 func testFleet(hosts int) *Fleet {
 	f := New(testBounds)
 	f.SetHosts(hosts, 0)
+	f.SetRetryHosts(hosts, true)
 	f.Update([]lavconfig.Service{engineService}, []lavconfig.Endpoint{endpoint("e1", "a"), endpoint("e2", "b")}, nil)
 	return f
 }
--- a/lavhost/heartbeat.go
+++ b/lavhost/heartbeat.go
@@ -27,6 +27,9 @@
 	// SendsStatus is true if the sender's next heartbeat follows so soon that
 	// receivers may rely on the fields about its replica and the store.
 	SendsStatus bool `cbor:"7,keyasint,omitempty"`
+	// Hosts is the number of hosts that the sender counts among those that may use a share of
+	// what all may take together.
+	Hosts int `cbor:"8,keyasint,omitempty"`
 }
 
 // heartbeatsPerMember is how many heartbeats a host of a small fleet sends for each one that
@@ -44,6 +47,7 @@
 		InContact:         p.follower.inContact(),
 		ContinuousContact: p.follower.continuousContact(),
 		SendsStatus:       p.sendsStatus(),
+		Hosts:             p.countedHosts(),
 	}
 	if _, err := p.mesh.Broadcast(lavmesh.TopicBeat, b); err != nil {
 		p.logger.Warn().Err(err).Msg("failed to send heartbeat")
@@ -86,6 +90,7 @@
 	}
 	known.lastHeartbeat = now
 	known.updateStatus(b, digest)
+	p.roster.Reported(p.shareTime(), known.member.Host, b.Hosts)
 	return nil, nil
 }
 
--- a/lavhost/host.go
+++ b/lavhost/host.go
@@ -18,6 +18,7 @@
 	"lavenderrack.example/lavenderrack/lavmirror"
 	"lavenderrack.example/lavenderrack/lavpause"
 	"lavenderrack.example/lavenderrack/lavrelay"
+	"lavenderrack.example/lavenderrack/lavshare"
 	"lavenderrack.example/lavenderrack/platform"
 
 	"github.com/cockroachdb/errors"
@@ -122,7 +123,9 @@
 		view:          &lavmember.View{Members: []lavmember.Member{self}},
 		aliveHosts:    1,
 		knownHosts:    1,
+		roster:        lavshare.New(settings.Host, shareTerms(fleetBounds(settings.Bounds))),
 	}
+	h.fleet.SetRetryHosts(1, false)
 	h.mesh = lavmesh.New(h.peers, h.deps.PeerClient)
 	h.mesh.SetTiming(meshTimings)
 	h.mesh.SetMetricsScope(h.deps.Scope)
@@ -136,6 +139,8 @@
 		reliesOnWatchers: h.peers.reliesOnWatchers,
 
 		anyContinuousContact: h.peers.anyContinuousContact,
+		recordList:           h.peers.recordList,
+		needsList:            h.peers.needsList,
 	}
 	h.peers.follower = h.follower
 	h.socket = lavdatagram.New(h.deps.Datagrams, h.deps.Scope)
--- a/lavhost/membership.go
+++ b/lavhost/membership.go
@@ -48,6 +48,7 @@
 	var lease lavstore.LeaseID
 	var written lavmember.Member
 	for ctx.Err() == nil {
+		askedAt := m.peers.shareTime()
 		next, entry, err := m.renew(ctx, lease, written)
 		switch {
 		case errors.Is(err, lavstore.ErrLeaseGone):
@@ -58,6 +59,7 @@
 			continue
 		}
 		lease, written = next, entry
+		m.peers.recordRenewal(askedAt)
 		select {
 		case <-ctx.Done():
 		case <-m.peers.selfChanged:
--- a/lavhost/peers.go
+++ b/lavhost/peers.go
@@ -10,6 +10,7 @@
 	"lavenderrack.example/lavenderrack/lavfleet"
 	"lavenderrack.example/lavenderrack/lavmember"
 	"lavenderrack.example/lavenderrack/lavmesh"
+	"lavenderrack.example/lavenderrack/lavshare"
 
 	"github.com/phuslu/log"
 )
@@ -28,7 +29,7 @@
 	divergenceTolerance = 500 * time.Millisecond
 	pullTimeout         = 700 * time.Millisecond
 	// spareHosts is added to the number of known hosts, since hosts may join at
-	// any time. Limits that the hosts share are divided by the sum.
+	// any time. The limits of cold endpoints are divided by the sum.
 	spareHosts = 2
 	// minHosts is the least number of hosts to assume, also while fewer are
 	// known.
@@ -81,6 +82,8 @@
 	self          lavmember.Member
 	byIncarnation map[string]*peer
 	view          *lavmember.View
+	// roster is the hosts among which bounds are divided.
+	roster *lavshare.Roster
 	// aliveHosts and knownHosts are the numbers of hosts that are alive, and that have been alive
 	// lately and have not left.
 	aliveHosts, knownHosts int
@@ -138,6 +141,7 @@
 	p.recordContact(now)
 	if known := p.upsert(m); known != nil {
 		known.lastHeartbeat = now
+		p.roster.Heard(m.Host)
 	}
 	p.rebuildView()
 }
@@ -201,6 +205,7 @@
 	position := slices.IndexFunc(members, func(m lavmember.Member) bool { return m.Incarnation == p.self.Incarnation })
 	p.fleet.SetHosts(max(len(members)+spareHosts, minHosts), position)
 	p.countHosts()
+	p.updateShares(p.shareTime())
 }
 
 // setSeeds replaces the addresses that are dialled while no peer is known.
--- a/lavhost/statereport.go
+++ b/lavhost/statereport.go
@@ -32,7 +32,7 @@
 	if h.ingress.account != nil {
 		h.ingress.account.Publish()
 	}
-	s.scope.Gauge("hosts_dividing_bounds").Update(float64(h.fleet.Hosts()))
+	s.scope.Gauge("hosts_dividing_bounds").Update(float64(h.fleet.RetryHosts()))
 	s.scope.Gauge("members").Update(float64(len(h.peers.View().Members)))
 }
 
--- a/lavhost/storefollower.go
+++ b/lavhost/storefollower.go
@@ -68,6 +68,10 @@
 	// reliesOnWatchers reports whether this host is not a watcher and receives
 	// changes from one.
 	reliesOnWatchers func() bool
+	// recordList records that the entries have been read as of a time, and needsList reports
+	// whether they must be read at once.
+	recordList func(askedAt time.Time)
+	needsList  func() bool
 
 	mu sync.Mutex
 	// lastResponse is when the store last answered. unavailableSince is when
@@ -87,9 +91,11 @@
 	var after lavstore.Revision
 	for ctx.Err() == nil {
 		epoch, confirmed := f.confirmation.check()
+		askedAt := f.now()
 		next, err := f.poll(ctx, epoch, after, confirmed)
 		f.recordResult(err)
 		if err == nil {
+			f.recordList(askedAt)
 			after = next
 			f.waitForNextPoll(ctx)
 			continue
@@ -111,7 +117,7 @@
 	until := time.Now().Add(idlePollInterval)
 	for ctx.Err() == nil && time.Now().Before(until) {
 		_, confirmed := f.confirmation.check()
-		if !confirmed || !f.reliesOnWatchers() {
+		if !confirmed || !f.reliesOnWatchers() || f.needsList() {
 			return
 		}
 		_ = lavpause.For(ctx, watcherCheckInterval)
@@ -224,3 +230,6 @@
 	defer f.mu.Unlock()
 	return f.unavailableSince.IsZero() && !f.lastResponse.IsZero() && time.Since(f.lastResponse) < watchTimeout+callTimeout
 }
+
+// now returns the current time including that for which the machine was suspended.
+func (f *storeFollower) now() time.Time { return time.Now().Add(f.confirmation.clock()) }
--- a/lavrelay/trace.go
+++ b/lavrelay/trace.go
@@ -102,10 +102,14 @@
 }
 
 // describeRetryShare returns the share of the retry budget at the last retry, such as "3 of 17.2, burst
-// divided by 30".
+// divided by 30, in use".
 func (t *trace) describeRetryShare() string {
 	s := t.retryShare
-	return fmt.Sprintf("%d of %.3g, burst divided by %d", s.Sent, s.Allowed, s.Hosts)
+	burst := "withheld"
+	if s.Burst {
+		burst = "in use"
+	}
+	return fmt.Sprintf("%d of %.3g, burst divided by %d, %s", s.Sent, s.Allowed, s.Hosts, burst)
 }
 
 func (t *trace) recordError(err error) { t.failure = err.Error() }
--- a/lavshare/roster.go
+++ b/lavshare/roster.go
@@ -21,14 +21,18 @@
 type Roster struct {
 	terms Terms
 	self  string
+	// hosts are the other hosts, and names all of them, sorted.
 	hosts map[string]*host
-	// names are the hosts and this one, sorted.
 	names []string
 	// joinedAt is when the store first listed this host, or listed it again after its lease had
-	// ended. renewedAt is when the last successful renewal was sent. Both are zero before.
-	joinedAt, renewedAt time.Time
-	// listedAt is when the list of members was last read, zero before.
-	listedAt time.Time
+	// ended. It is zero before.
+	joinedAt time.Time
+	// acceptedAt is when every host that may use a share was first known to count this one, zero
+	// before.
+	acceptedAt time.Time
+	// renewedAt is when the last successful renewal of this host's membership was sent, and
+	// listedAt when the list of members was last requested. Both are zero before.
+	renewedAt, listedAt time.Time
 }
 
 // host is what is known of another host.
@@ -36,8 +40,8 @@
 	// absentSince is when the store was first found not to list the host, without anybody having
 	// heard of it since. It is zero while the host is listed or heard of.
 	absentSince time.Time
-	// reported is the number of hosts that it last reported to count, at reportedAt.
-	reported   int
+	// counted is how many hosts it last reported to count, at reportedAt.
+	counted    int
 	reportedAt time.Time
 }
 
@@ -46,31 +50,34 @@
 	return &Roster{terms: terms, self: self, hosts: make(map[string]*host), names: []string{self}}
 }
 
-// Renewed records that the store has renewed this host's membership in answer to a call that
-// was sent at a time.
-func (r *Roster) Renewed(sentAt time.Time) {
-	if r.joinedAt.IsZero() || !r.leased(sentAt) {
-		r.joinedAt = sentAt
+// Renewed records that the store has renewed this host's membership, as asked at a time.
+func (r *Roster) Renewed(now, askedAt time.Time) {
+	if r.joinedAt.IsZero() || !r.leased(now) {
+		r.joinedAt, r.acceptedAt = now, time.Time{}
 	}
-	r.renewedAt = sentAt
+	r.renewedAt = askedAt
+	r.updateAccepted(now)
 }
 
-// Listed records that the store lists the named members.
-func (r *Roster) Listed(now time.Time, names []string) {
-	interrupted := now.Sub(r.listedAt) > r.terms.ListInterval
-	r.listedAt = now
+// Listed records which members the store lists, as asked at a time.
+func (r *Roster) Listed(now, askedAt time.Time, names []string) {
+	interrupted := askedAt.Sub(r.listedAt) > r.terms.ListInterval
+	r.listedAt = askedAt
+	listed := make(map[string]bool, len(names))
 	for _, name := range names {
+		listed[name] = true
 		r.Heard(name)
 	}
 	for name, h := range r.hosts {
 		switch {
-		case slices.Contains(names, name):
+		case listed[name]:
 		case h.absentSince.IsZero() || interrupted:
 			h.absentSince = now
 		case now.Sub(h.absentSince) > r.terms.Lease+r.terms.Window:
 			r.remove(name)
 		}
 	}
+	r.updateAccepted(now)
 }
 
 // Heard records that another host was heard of.
@@ -87,19 +94,15 @@
 	r.names = slices.Insert(slices.Clone(r.names), at, name)
 }
 
-// Reported records that another host has reported how many hosts it counts.
-func (r *Roster) Reported(now time.Time, name string, hosts int) {
+// Reported records how many hosts another host counts.
+func (r *Roster) Reported(now time.Time, name string, counted int) {
 	r.Heard(name)
 	if h := r.hosts[name]; h != nil {
-		h.reported, h.reportedAt = hosts, now
+		h.counted, h.reportedAt = counted, now
+		r.updateAccepted(now)
 	}
 }
 
-func (r *Roster) remove(name string) {
-	delete(r.hosts, name)
-	r.names = slices.DeleteFunc(slices.Clone(r.names), func(n string) bool { return n == name })
-}
-
 // Counted returns the number of hosts that this host counts by itself, which it reports to the
 // others.
 func (r *Roster) Counted() int { return len(r.names) }
@@ -109,7 +112,7 @@
 func (r *Roster) Hosts() int {
 	n := len(r.names)
 	for _, h := range r.hosts {
-		n = max(n, h.reported)
+		n = max(n, h.counted)
 	}
 	return n
 }
@@ -118,9 +121,12 @@
 // change the result.
 func (r *Roster) Names() []string { return r.names }
 
+// NeedsList reports whether this host has not read the list of members since it joined.
+func (r *Roster) NeedsList() bool { return !r.joinedAt.IsZero() && r.listedAt.Before(r.joinedAt) }
+
 // MayUse reports whether this host may use its share.
 func (r *Roster) MayUse(now time.Time) bool {
-	return r.leased(now) && r.joined(now)
+	return r.leased(now) && !r.acceptedAt.IsZero() && now.Sub(r.acceptedAt) >= r.terms.Window
 }
 
 // leased reports whether this host's lease is valid.
@@ -128,18 +134,30 @@
 	return now.Before(r.renewedAt.Add(r.terms.Lease)) && now.Before(r.listedAt.Add(r.terms.Lease))
 }
 
-// joined reports whether every host that may use a share counts this one.
-func (r *Roster) joined(now time.Time) bool {
-	if r.joinedAt.IsZero() {
-		return false
+// updateAccepted sets acceptedAt once every host that may use a share counts this one. After
+// Terms.Lease that is so without a report, since a host that has not read of this one since
+// it joined may no longer use its share.
+func (r *Roster) updateAccepted(now time.Time) {
+	if !r.acceptedAt.IsZero() || r.joinedAt.IsZero() || r.NeedsList() {
+		return
 	}
-	if now.Sub(r.joinedAt) > r.terms.Lease {
-		return true
+	if now.Sub(r.joinedAt) > r.terms.Lease || r.allCountThis() {
+		r.acceptedAt = now
 	}
+}
+
+// allCountThis reports whether all hosts have reported, since this one joined, to count as many
+// hosts as it does.
+func (r *Roster) allCountThis() bool {
 	for _, h := range r.hosts {
-		if h.reportedAt.Before(r.joinedAt) || h.reported < len(r.names) {
+		if h.reportedAt.Before(r.joinedAt) || h.counted < len(r.names) {
 			return false
 		}
 	}
 	return true
 }
+
+func (r *Roster) remove(name string) {
+	delete(r.hosts, name)
+	r.names = slices.DeleteFunc(slices.Clone(r.names), func(n string) bool { return n == name })
+}
