--- a/lavhost/cold_test.go
+++ b/lavhost/cold_test.go
@@ -1,7 +1,6 @@
 package lavhost
 
 import (
-	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -28,8 +27,7 @@
 	for _, h := range l.fleet.hosts {
 		h.fleet.SetBounds(lavfleet.Bounds{ColdFactor: coldFactor, ColdSlack: coldSlack})
 	}
-	cold := strings.Replace(standin.ConfigValue(2, "s"), `"max_conns":100`, `"max_conns":100,"warmup_s":3,"warmup_per_s":2`, 1)
-	l.fleet.store.Put(platform.KeyConfig, cold)
+	l.fleet.store.Put(platform.KeyConfig, standin.ColdConfigValue(2, "s", coldRate))
 	time.Sleep(promptLoadSettle)
 	return l
 }
--- a/lavhost/peers.go
+++ b/lavhost/peers.go
@@ -15,7 +15,7 @@
 	"github.com/phuslu/log"
 )
 
-// Timing of the exchange with peers, and assumptions about the size of the fleet.
+// Timing of the exchange with peers.
 const (
 	// deadPeerRetention is how long a dead peer is remembered, so that it
 	// doesn't count as a new member while the store still lists it.
@@ -28,12 +28,6 @@
 	// request.
 	divergenceTolerance = 500 * time.Millisecond
 	pullTimeout         = 700 * time.Millisecond
-	// spareHosts is added to the number of known hosts, since hosts may join at
-	// any time. The limits of cold endpoints are divided by the sum.
-	spareHosts = 2
-	// minHosts is the least number of hosts to assume, also while fewer are
-	// known.
-	minHosts = 9
 )
 
 // meshTimings makes the mesh detect a silent link within peerTimeout.
@@ -184,7 +178,7 @@
 }
 
 // rebuildView sets the view to the live members, forgets peers that have been
-// dead for deadPeerRetention, and passes the number of hosts to the fleet. The
+// dead for deadPeerRetention, and passes this host's shares to the fleet. The
 // caller holds the lock.
 func (p *peers) rebuildView() {
 	now := time.Now()
@@ -202,8 +196,6 @@
 		// until the view changes.
 		p.view = &lavmember.View{Members: members}
 	}
-	position := slices.IndexFunc(members, func(m lavmember.Member) bool { return m.Incarnation == p.self.Incarnation })
-	p.fleet.SetHosts(max(len(members)+spareHosts, minHosts), position)
 	p.countHosts()
 	p.updateShares(p.shareTime())
 }
--- a/lavhost/sharepool.go
+++ b/lavhost/sharepool.go
@@ -77,7 +77,7 @@
 	return grants, pressed
 }
 
-// useView drops what was lent if the members have changed, as each owns another share then. The
+// useView drops what was lent if the members have changed, as each may own another share then. The
 // caller holds the lock.
 func (s *sharePool) useView(view *lavmember.View) {
 	if s.view == view {
@@ -111,10 +111,15 @@
 		return
 	}
 	number := s.nextRecall()
-	for i, owner := range view.Members {
+	indexes := s.exchange.peers.shareIndexes(view.Members)
+	for _, owner := range view.Members {
+		index, counted := indexes[owner.Incarnation]
+		if !counted {
+			continue
+		}
 		message := shareRecall{Number: number, Host: self}
 		for _, life := range lives {
-			if s.exchange.fleet.ShareAt(life, i) > 0 {
+			if s.exchange.fleet.ShareAt(life, index) > 0 {
 				message.Lives = append(message.Lives, life)
 			}
 		}
--- a/lavhost/shares.go
+++ b/lavhost/shares.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"lavenderrack.example/lavenderrack/lavfleet"
+	"lavenderrack.example/lavenderrack/lavmember"
 	"lavenderrack.example/lavenderrack/lavshare"
 )
 
@@ -16,6 +17,15 @@
 	listInterval = idlePollInterval + 4*maxResponseGap
 )
 
+// Numbers of hosts to assume for the limits of cold endpoints. A host uses its share of them as soon as
+// it serves requests, before every other host has heard of it.
+const (
+	// spareHosts is added to the number of hosts, since hosts may join at any time.
+	spareHosts = 2
+	// minHosts is the least number, also while fewer hosts are known.
+	minHosts = 9
+)
+
 // shareTerms returns the terms for the bounds in the settings.
 func shareTerms(b lavfleet.Bounds) lavshare.Terms {
 	return lavshare.Terms{Lease: shareLease, Window: b.Retry.CountedFor(), ListInterval: listInterval}
@@ -61,8 +71,27 @@
 	return p.roster.Counted()
 }
 
-// updateShares passes to the fleet among how many hosts the bounds are divided, and whether this
-// one may use its share. The caller holds the lock.
+// shareIndexes returns the indexes of hosts among those that divide the bounds. A host that is not
+// counted is left out.
+func (p *peers) shareIndexes(members []lavmember.Member) map[string]int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	indexes := make(map[string]int, len(members))
+	for _, m := range members {
+		if i, ok := p.roster.Index(m.Host); ok {
+			indexes[m.Incarnation] = i
+		}
+	}
+	return indexes
+}
+
+// updateShares passes to the fleet among how many hosts the bounds are divided, and which share is
+// that of this one. The caller holds the lock.
 func (p *peers) updateShares(now time.Time) {
-	p.fleet.SetRetryHosts(p.roster.Hosts(), p.roster.MayUse(now))
+	hosts := p.roster.Hosts()
+	p.fleet.SetRetryHosts(hosts, p.roster.MayUse(now))
+	// The limits of cold endpoints also bind a host that may not use its share: without any, it
+	// could serve nothing.
+	index, _ := p.roster.Index(p.self.Host)
+	p.fleet.SetHosts(max(hosts+spareHosts, minHosts), index)
 }
--- a/lavshare/roster.go
+++ b/lavshare/roster.go
@@ -117,9 +117,9 @@
 	return n
 }
 
-// Names returns the hosts that this host counts, itself included, in order. The caller must not
-// change the result.
-func (r *Roster) Names() []string { return r.names }
+// Index returns the position of a host among those that this host counts, itself included. It
+// returns false for a host that is not counted.
+func (r *Roster) Index(name string) (int, bool) { return slices.BinarySearch(r.names, name) }
 
 // NeedsList reports whether this host has not read the list of members since it joined.
 func (r *Roster) NeedsList() bool { return !r.joinedAt.IsZero() && r.listedAt.Before(r.joinedAt) }
--- a/lavshare/roster_test.go
+++ b/lavshare/roster_test.go
@@ -1,7 +1,6 @@
 package lavshare
 
 import (
-	"fmt"
 	"testing"
 	"time"
 
@@ -91,7 +90,10 @@
 	c.listFor(20*time.Second, "a", "b")
 	c.report("b", 2)
 	c.assertHosts(t, 2)
-	lavassert.Equal(t, "names", fmt.Sprint(c.roster.Names()), "[a b]")
+	_, counted := c.roster.Index("c")
+	lavassert.True(t, "c is no longer counted", !counted)
+	index, _ := c.roster.Index("b")
+	lavassert.Equal(t, "index of b", index, 1)
 }
 
 func TestShareNeedsContactWithTheStore(t *testing.T) {
