Hand out permits by the hosts that may still use a share, and that were heard (LIMIT)

It forgot hosts that had been silent for a minute, and counted each as alive for 1.5 s when the list of the store named it again. TestStatedLimitIsKeptByAllHosts/HostsApartForLong failed: 28 hosts apart and without the store for more than a minute sent up to 40 requests in 4 s where 35 are allowed (38 with the load as committed). Now known hosts are those of lavshare, and only hosts that were heard of count as reached: 28 of 35.

--- a/lavhost/host.go
+++ b/lavhost/host.go
@@ -121,8 +121,7 @@
 		self:          self,
 		byIncarnation: make(map[string]*peer),
 		view:          &lavmember.View{Members: []lavmember.Member{self}},
-		aliveHosts:    1,
-		knownHosts:    1,
+		reachedHosts:  1,
 		roster:        lavshare.New(settings.Host, shareTerms(fleetBounds(settings.Bounds))),
 	}
 	h.fleet.SetRetryHosts(1, false)
--- a/lavhost/limit_test.go
+++ b/lavhost/limit_test.go
@@ -1,11 +1,13 @@
 package lavhost
 
 import (
+	"cmp"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"lavenderrack.example/lavenderrack/lavassert"
+	"lavenderrack.example/lavenderrack/platform/standin"
 )
 
 // Bounds of the requests that an endpoint gets once it has stated a limit: in any limitWindow at
@@ -43,9 +45,9 @@
 // TestStatedLimitIsKeptByAllHosts guards against hosts that together send an endpoint more than it
 // has stated to take from all of them.
 func TestStatedLimitIsKeptByAllHosts(t *testing.T) {
-	all := make([]float64, promptLoadEndpoints)
+	all, allHigh := make([]float64, promptLoadEndpoints), make([]float64, promptLoadEndpoints)
 	for i := range all {
-		all[i] = 1
+		all[i], allHigh[i] = 1, 5
 	}
 	tests := []struct {
 		name  string
@@ -54,22 +56,36 @@
 		callersAt int
 		// limits are those of the first endpoints, in requests per second.
 		limits []float64
-		// disturb runs beside the load.
+		// disturb runs beside the load, and lasts is how long the load lasts, limitedPhase if it is 0.
 		disturb func(f *emulatedFleet)
+		lasts   time.Duration
+		// rate is the number of prompts a second, the usual one if it is 0.
+		rate float64
 	}{
-		{"OneEndpoint", 6, 0, []float64{1.3}, nil},
-		{"SeveralEndpoints", 6, 0, []float64{0.5, 1, 1.9, 5, 0}, nil},
-		{"AllEndpoints", 6, 0, all, nil},
-		{"ManyHosts", 30, 0, all, nil},
-		{"AllPromptsAtOneHost", 6, 1, all, nil},
+		{"OneEndpoint", 6, 0, []float64{1.3}, nil, 0, 0},
+		{"SeveralEndpoints", 6, 0, []float64{0.5, 1, 1.9, 5, 0}, nil, 0, 0},
+		{"AllEndpoints", 6, 0, all, nil, 0, 0},
+		{"ManyHosts", 30, 0, all, nil, 0, 0},
+		{"AllPromptsAtOneHost", 6, 1, all, nil, 0, 0},
 		{"HostsRestart", 6, 0, all, func(f *emulatedFleet) {
 			time.Sleep(5 * time.Second)
 			f.restart(0, 3)
-		}},
+		}, 0, 0},
 		{"HostCutOffFromPeers", 6, 0, all, func(f *emulatedFleet) {
 			time.Sleep(5 * time.Second)
 			f.isolate(2, true)
-		}},
+		}, 0, 0},
+		{"HostsApartForLong", 28, 0, allHigh, func(f *emulatedFleet) {
+			time.Sleep(5 * time.Second)
+			f.store.SetMode(standin.ModeBusy)
+			for _, i := range allHosts(28) {
+				f.isolate(i, true)
+			}
+			time.Sleep(deadPeerRetention + limitedPhase)
+			for _, i := range allHosts(28) {
+				f.isolate(i, false)
+			}
+		}, deadPeerRetention + 2*limitedPhase, 160},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -78,6 +94,7 @@
 				if test.callersAt > 0 {
 					l.hosts = test.callersAt
 				}
+				l.rate = cmp.Or(test.rate, l.rate)
 				l.play(soundPhase)
 				stated := time.Now()
 				for i, perSecond := range test.limits {
@@ -86,7 +103,7 @@
 				if test.disturb != nil {
 					l.callers.Go(func() { test.disturb(l.fleet) })
 				}
-				l.play(limitedPhase)
+				l.play(cmp.Or(test.lasts, limitedPhase))
 				for i, perSecond := range test.limits {
 					l.assertLimitKept(t, i, perSecond, stated, time.Now())
 				}
--- a/lavhost/peers.go
+++ b/lavhost/peers.go
@@ -78,9 +78,8 @@
 	view          *lavmember.View
 	// roster is the hosts among which bounds are divided.
 	roster *lavshare.Roster
-	// aliveHosts and knownHosts are the numbers of hosts that are alive, and that have been alive
-	// lately and have not left.
-	aliveHosts, knownHosts int
+	// reachedHosts is the number of hosts that are alive and have been heard of, this one included.
+	reachedHosts int
 	// lastSentSelf is this host's member entry in the last heartbeat that
 	// carried one, and heartbeatsSinceSelf counts the heartbeats since then.
 	lastSentSelf        lavmember.Member
@@ -196,7 +195,7 @@
 		// until the view changes.
 		p.view = &lavmember.View{Members: members}
 	}
-	p.countHosts()
+	p.countReached(now)
 	p.updateShares(p.shareTime())
 }
 
@@ -220,33 +219,29 @@
 	p.announce()
 }
 
-// reachableShare returns the share of the hosts that this host counts as alive, of those that have
-// been alive lately and have not left. A host that hands out what all may take together hands out
-// only this share of it, so that parts of the fleet which are cut off from each other stay within
-// the whole. It returns false for a host that has joined the others too lately to hand out anything.
+// reachableShare returns the share of the hosts that this host reaches, of those that may use a share.
+// A host that hands out what all may take together hands out only this share of it, so that parts of
+// the fleet which are cut off from each other stay within the whole. It returns false for a host that
+// has joined the others too lately to hand out anything.
 func (p *peers) reachableShare() (share float64, ok bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if !p.joinedAt.IsZero() && time.Since(p.joinedAt) < holderDelay {
 		return 0, false
 	}
-	return float64(p.aliveHosts) / float64(max(p.knownHosts, 1)), true
+	return float64(p.reachedHosts) / float64(max(p.roster.Hosts(), p.reachedHosts)), true
 }
 
-// countHosts counts the hosts for reachableShare. One that has started again counts once. The caller
-// holds the lock.
-func (p *peers) countHosts() {
-	known := make(map[string]bool, len(p.view.Members))
-	for _, m := range p.view.Members {
-		known[m.Host] = true
-	}
-	p.aliveHosts = len(known)
-	for _, other := range p.byIncarnation {
-		if !other.member.Leaving {
-			known[other.member.Host] = true
+// countReached counts the hosts that are alive and have been heard of. One that has started again counts
+// once, and one that only the store lists doesn't count. The caller holds the lock.
+func (p *peers) countReached(now time.Time) {
+	reached := map[string]bool{p.self.Host: true}
+	for _, known := range p.byIncarnation {
+		if known.heard() && known.alive(now, len(p.view.Members)) {
+			reached[known.member.Host] = true
 		}
 	}
-	p.knownHosts = len(known)
+	p.reachedHosts = len(reached)
 }
 
 // addStoreMembers adds the members that the store lists. It doesn't overwrite
