Divide a warm endpoint among all members, also those that can't be reached

TestSharesOfHostsThatAreApart failed: 600 of 1200 tokens for one of four hosts. Endpoints refuse what exceeds their memory, so that callers lost time to refusals, not requests.

--- a/lavcredit/exchange.go
+++ b/lavcredit/exchange.go
@@ -23,6 +23,8 @@
 // Members provides the current membership view and this host's own entry.
 type Members interface {
 	View() *lavmember.View
+	// FullView includes the members that can't be reached while the store is away.
+	FullView() *lavmember.View
 	Self() lavmember.Member
 }
 
@@ -93,8 +95,9 @@
 	return x
 }
 
-// hostCount returns the number of hosts. It needs no lock.
-func (x *Exchange) hostCount() int { return len(x.deps.Members.View().Members) }
+// hostCount returns the number of hosts, including those that can't be reached: they may still use
+// their shares. It needs no lock.
+func (x *Exchange) hostCount() int { return len(x.deps.Members.FullView().Members) }
 
 // Take implements Source.
 func (x *Exchange) Take(now time.Time, e *lavendpoint.Endpoint, tokens int) (Credit, bool) {
--- a/lavcredit/fleet_test.go
+++ b/lavcredit/fleet_test.go
@@ -132,6 +132,7 @@
 }
 
 func (h *host) View() *lavmember.View           { return h.view.Load() }
+func (h *host) FullView() *lavmember.View       { return viewOf(h.fleet.names()...) }
 func (h *host) Self() lavmember.Member          { return lavmember.Member{Incarnation: h.name} }
 func (h *host) Snapshot() *lavendpoint.Snapshot { return h.snapshot.Load() }
 
