Count the requests of one window for the retries of all hosts (BUDGET)

A second way to the same rule: each host allowed itself Ratio retries for the requests of the window that ended at its own retry. Hosts that send at different times refer to different windows, and their sum exceeds what any one window allows: by up to 94 in a simulation of 28 hosts under floods, waves and callers who move, 109 with a restart of all hosts, and 8 with steady requests, whose number varies by chance from host to host. TestRetryBudgetOverWavesOfRequests failed in 5 of 6 cases.

Now all hosts refer to the window of requests that ended half a window before that of the retries, one of those that the users' rule counts, and check every window that will contain the retry. That adds up over hosts and over restarts.

--- a/lavfleet/budget.go
+++ b/lavfleet/budget.go
@@ -16,17 +16,36 @@
 // can be later than the time of sending, so that this is slightly longer than the window.
 func (b BudgetBounds) CountedFor() time.Duration { return b.Window + b.Window/10 }
 
+// Numbers of steps in which a budget counts. Requests allow retries in windows that end half a window
+// later.
+const (
+	windowSteps   = 100
+	countedSteps  = windowSteps + windowSteps/10
+	delaySteps    = windowSteps / 2
+	requestsSteps = windowSteps + delaySteps
+)
+
 // budget is one host's share of the retry budget of a service.
+//
+// In any window this host sends at most Ratio retries for each of its requests in the window that ended
+// half a window earlier, and its part of the burst. All hosts refer to the same window of requests,
+// so that the sum over hosts holds too, however requests move between them. With the requests of
+// the last window as each host sees it when it sends, the sum of hosts that send at different times
+// would exceed what any one window allows.
 type budget struct {
-	requests window
-	retries  window
+	requests, retries stepCounts
 	// countingSince is the start of the count. Retries before a restart of the host
 	// are not known, so a host has no share of the burst in its first window.
 	countingSince time.Time
 }
 
 func newBudget(now time.Time, bounds BudgetBounds) *budget {
-	return &budget{requests: window{span: bounds.Window}, retries: window{span: bounds.CountedFor()}, countingSince: now}
+	step := max(bounds.Window/windowSteps, 1)
+	return &budget{
+		requests:      newStepCounts(now, step, requestsSteps),
+		retries:       newStepCounts(now, step, countedSteps+1),
+		countingSince: now,
+	}
 }
 
 // burstDivision is how the burst of every retry budget is divided: among hosts, of which this one
@@ -38,7 +57,8 @@
 
 // RetryShare is this host's share of a service's retry budget.
 type RetryShare struct {
-	// Sent is the number of retries in the window, and Allowed what it may reach.
+	// Sent is the number of retries in the window with the fewest left, and Allowed what it may
+	// reach.
 	Sent    int
 	Allowed float64
 	// Hosts is the number by which the burst is divided, and Burst is false if this host may not
@@ -50,14 +70,29 @@
 // Exhausted reports whether the share allows no further retry.
 func (s RetryShare) Exhausted() bool { return float64(s.Sent+1) > s.Allowed }
 
-// share returns the host's share at a time.
+// left returns how many retries are left.
+func (s RetryShare) left() float64 { return s.Allowed - float64(s.Sent) }
+
+// share returns the host's share at a time: of all windows that will contain a retry that is sent
+// now, that with the fewest retries left.
 func (b *budget) share(now time.Time, bounds BudgetBounds, d burstDivision) RetryShare {
-	s := RetryShare{Sent: b.retries.count(now), Allowed: bounds.Ratio * float64(b.requests.count(now)), Hosts: max(d.hosts, 1)}
-	s.Burst = d.mayUse && now.Sub(b.countingSince) >= bounds.Window
-	if s.Burst {
-		s.Allowed += bounds.Burst / float64(s.Hosts)
+	last := b.requests.stepOf(now)
+	tightest := RetryShare{Hosts: max(d.hosts, 1)}
+	tightest.Burst = d.mayUse && now.Sub(b.countingSince) >= bounds.Window
+	burst := 0.0
+	if tightest.Burst {
+		burst = bounds.Burst / float64(tightest.Hosts)
 	}
-	return s
+	for end := last; end <= last+countedSteps; end++ {
+		s := tightest
+		s.Sent = b.retries.sum(end-countedSteps, last)
+		// Only steps that are wholly in the window count.
+		s.Allowed = bounds.Ratio*float64(b.requests.sum(end-requestsSteps+1, min(end-delaySteps-1, last))) + burst
+		if end == last || s.left() < tightest.left() {
+			tightest = s
+		}
+	}
+	return tightest
 }
 
 // spend counts one retry if the host's share allows it, and returns the share before it.
