Don't take a repeated refusal for the answer to an order

Shown not to happen for requests: responses are matched by their ID, those without one only on a new connection, and requests that may run once always get a new one (TestRepeatedRefusalIsNotBelieved: safe, unsafe, streams, with and without the ID). But orders and questions for reports accepted any response: a repeated refusal counted as the answer to a reservation (503 where the endpoint had said 200), so that KV cache stayed set aside for nobody until its lease ended. TestRepeatedRefusalIsNoAnswerToAnOrder failed before.

--- a/lavrelay/reserve.go
+++ b/lavrelay/reserve.go
@@ -119,7 +119,7 @@
 		Header:   platform.OrderHeader(e.ID),
 		Body:     body,
 	}
-	response, err := h.task.relay.pool.Do(ctx, e.Address, request, func(*http.Response, bool) bool { return true })
+	response, err := h.task.relay.pool.Do(ctx, e.Address, request, namesNoRequest)
 	if err != nil {
 		return 0, err
 	}
@@ -129,6 +129,12 @@
 	return response.Status, nil
 }
 
+// namesNoRequest reports whether a response can belong to an order or a question, which have no request ID.
+// One that names a request is a late or repeated response to that.
+func namesNoRequest(response *http.Response, _ bool) bool {
+	return platform.DecodeResponse(response.StatusCode, response.Header).ID == ""
+}
+
 // renew renews the reservations until the context ends.
 func (h *reservationSet) renew(ctx context.Context) {
 	_ = lavpause.Every(ctx, renewInterval, func() {
--- a/lavrelay/slowdown.go
+++ b/lavrelay/slowdown.go
@@ -67,7 +67,7 @@
 		HostName: e.Address.String(),
 		Header:   http.Header{},
 	}
-	response, err := r.pool.Do(ctx, e.Address, request, func(*http.Response, bool) bool { return true })
+	response, err := r.pool.Do(ctx, e.Address, request, namesNoRequest)
 	if err != nil {
 		return platform.Report{}, err
 	}
