--- a/lavrelay/attempt.go
+++ b/lavrelay/attempt.go
@@ -35,8 +35,13 @@
 		verdict = t.recordFailure(ctx, c, err)
 		return t.afterNoResponse(ctx, err)
 	}
-	t.arrivals++
 	head := platform.DecodeResponse(response.Status, response.Header)
+	if err := t.checkIdentity(response.Status, head); err != nil {
+		response.Close(head.IdleTimeout)
+		verdict = t.recordFailure(ctx, c, err)
+		return t.afterNoResponse(ctx, err)
+	}
+	t.arrivals++
 	t.trace.recordResponse(response, head)
 	t.relay.recordStatements(c.endpoint, head)
 	t.relay.recordNoLimit(c.endpoint, response.Status, head, sentAt)
@@ -96,13 +101,26 @@
 // it is bounded. A caller who could wait longer has better chances at another endpoint.
 const endpointWriteTimeout = 5 * time.Second
 
-// matchesCall reports whether a response belongs to this call. Endpoints echo the request
-// ID. A response without an ID is accepted only as the first one on its connection.
+// matchesCall reports whether a response is the one to this call. Endpoints echo the request
+// ID. A response without an ID ends the wait for the right one only as the first on its connection.
 func (t *task) matchesCall(response *http.Response, fresh bool) bool {
 	id := platform.DecodeResponse(response.StatusCode, response.Header).ID
 	return id == t.call.ID || id == "" && fresh
 }
 
+// checkIdentity returns an error for a response that says nothing about this call: one that
+// doesn't name it, or a success without the endpoint's stamp. The request may have run.
+func (t *task) checkIdentity(status int, head platform.Response) error {
+	switch {
+	case head.ID != t.call.ID:
+		return errors.Mark(errors.Newf("response %d names no request", status), lavconn.ErrResponseLost)
+	case status < http.StatusMultipleChoices && !head.Stamped:
+		return errors.Mark(errors.Newf("response %d bears no stamp", status), lavconn.ErrResponseLost)
+	default:
+		return nil
+	}
+}
+
 // recordRefusal handles a response that states that the request was not run. It puts the
 // helper that the response names into backoff, or else the primary endpoint.
 func (t *task) recordRefusal(c *placement, head platform.Response) {
--- /dev/null
+++ b/lavrelay/unstamped_test.go
@@ -0,0 +1,66 @@
+package lavrelay
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"testing/synctest"
+
+	"lavenderrack.example/lavenderrack/lavassert"
+	"lavenderrack.example/lavenderrack/lavconfig"
+	"lavenderrack.example/lavenderrack/platform/standin"
+)
+
+// TestResponseThatNamesNoRequestIsLost guards against a faulty endpoint's bytes that are taken for a
+// success, for a failure or for a refusal, though they name no request or bear no stamp.
+func TestResponseThatNamesNoRequestIsLost(t *testing.T) {
+	const body = "bad"
+	responses := map[string]standin.Identity{
+		"Anonymous":    {},
+		"WithoutID":    {Stamped: true},
+		"WithoutStamp": {Named: true},
+	}
+	for name, identity := range responses {
+		t.Run(name, func(t *testing.T) {
+			t.Run("UnsafeSuccess", func(t *testing.T) {
+				assertLost(t, lavconfig.KindUnsafe, standin.RespondAs(identity, http.StatusOK, body))
+			})
+			t.Run("StreamSuccess", func(t *testing.T) {
+				assertLost(t, lavconfig.KindStreaming, standin.RespondAs(identity, http.StatusOK, standin.EventsUpTo(2), standin.EventsHeader))
+			})
+			t.Run("Retried", func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					b := newFixture(standin.RespondAs(identity, http.StatusOK, body), standin.Respond(http.StatusOK, "ok"))
+					out := b.serve(context.Background(), b.call(lavconfig.KindSafe))
+					lavassert.Equal(t, "status", out.Code, http.StatusOK)
+					lavassert.Equal(t, "body", out.Body.String(), "ok")
+					b.closePool()
+				})
+			})
+			if identity.Named {
+				return
+			}
+			t.Run("UnsafeRefusal", func(t *testing.T) {
+				assertLost(t, lavconfig.KindUnsafe, standin.RespondAs(identity, http.StatusServiceUnavailable, "", standin.NotRunHeader))
+			})
+			t.Run("UnsafeFailure", func(t *testing.T) {
+				assertLost(t, lavconfig.KindUnsafe, standin.RespondAs(identity, http.StatusInternalServerError, body))
+			})
+		})
+	}
+}
+
+// assertLost checks that a call that may run once ends with a status that promises nothing.
+func assertLost(t *testing.T, kind lavconfig.RouteKind, faulty standin.Handler) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		b := newFixture(faulty, standin.Respond(http.StatusOK, "ok"))
+		c := b.call(kind)
+		c.Route.Resumable = false
+		out := b.serve(context.Background(), c)
+		lavassert.Equal(t, "status", out.Code, http.StatusBadGateway)
+		lavassert.Equal(t, "stamp", standin.ServerStamp(out.Header()), "")
+		lavassert.Equal(t, "arrivals", len(b.endpoints.Requests()), 1)
+		b.closePool()
+	})
+}
