--- a/lavhost/clusterstate.go
+++ b/lavhost/clusterstate.go
@@ -36,7 +36,10 @@
 	mergeBlock func(t lavcrash.Trait, e lavmirror.Entry, removalsFinal bool)
 	index      atomic.Pointer[lavconfig.Index]
 
-	mu sync.Mutex
+	// order is held while entries change the mirror and are then merged, so that of two changes of
+	// a key the newer one is merged last. It is locked before mu.
+	order sync.Mutex
+	mu    sync.Mutex
 	// config is the entry of the desired state in force.
 	config    lavmirror.Entry
 	endpoints map[string]lavconfig.Endpoint
@@ -122,17 +125,21 @@
 // false, a removed entry may have expired only because the store was
 // unavailable, and its endpoint stays in service for recoveryGrace.
 func (s *clusterState) apply(entries []lavmirror.Entry, removalsFinal bool) []lavmirror.Entry {
+	s.order.Lock()
+	defer s.order.Unlock()
 	return s.merge(s.mirror.Apply(s.keepNewerConfig(entries)), removalsFinal)
 }
 
 // replace merges a complete listing at a revision, and otherwise works like
 // apply.
 func (s *clusterState) replace(entries []lavmirror.Entry, at lavstore.Revision, removalsFinal bool) []lavmirror.Entry {
+	s.order.Lock()
+	defer s.order.Unlock()
 	return s.merge(s.mirror.ApplySnapshot(s.keepNewerConfig(entries), at), removalsFinal)
 }
 
 // merge decodes entries that are newer than those known before and returns the
-// ones that peers need.
+// ones that peers need. The caller holds s.order.
 func (s *clusterState) merge(changed []lavmirror.Entry, removalsFinal bool) []lavmirror.Entry {
 	s.mu.Lock()
 	defer s.mu.Unlock()
