--- a/lavhost/blockpublisher.go
+++ b/lavhost/blockpublisher.go
@@ -41,8 +41,11 @@
 	Until time.Time
 }
 
-// blockPublisher keeps the blocks of segments in the store. Blocks of whole requests
-// are too many for it; hosts tell each other of these.
+// maxStoredBlocks bounds the blocks in the store. Each takes crashes of its own, so that there are few.
+const maxStoredBlocks = 1024
+
+// blockPublisher keeps the blocks in the store, so that they reach hosts that start or that have missed
+// what others told them.
 type blockPublisher struct {
 	store  BlockStore
 	blocks *crashTracker
@@ -168,7 +171,7 @@
 	urgent bool
 }
 
-// compareStored returns the blocks of segments that the store doesn't have, and the
+// compareStored returns the blocks that the store doesn't have, and the
 // traits of which it has a block that no longer holds.
 func (c *crashTracker) compareStored() (missing []missingBlock, obsolete []lavcrash.Trait) {
 	c.mu.Lock()
@@ -178,7 +181,7 @@
 	holds := make(map[lavcrash.Trait]bool)
 	for _, b := range c.attribution.Blocks(time.Now()) {
 		holds[b.Trait] = true
-		if b.Trait.Kind == lavcrash.TraitSegment && !c.stored[b.Trait] {
+		if !c.stored[b.Trait] && len(c.stored)+len(missing) < maxStoredBlocks {
 			missing = append(missing, missingBlock{Block: b, urgent: c.byOwnReport[b.Trait]})
 		}
 	}
