Divide what holders of permits save up and hand out at least (LIMIT)

Cause: each of 28 holders that hand out a 28th of a limit saved up two permits, as the only one does, and handed out a tenth of a request a second at least. Both are divided now, but for one whole permit.

--- a/lavhost/permitexchange.go
+++ b/lavhost/permitexchange.go
@@ -184,12 +184,12 @@
 	view, self := e.peers.View(), e.peers.Self().Incarnation
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.allocator.SetShare(share)
 	for _, item := range r.Items {
 		if holder, _ := lavmember.Owner(view, item.Bound.ownerKey()); holder.Incarnation != self {
 			continue
 		}
-		perSecond := e.latestLimit(now, item) * share
-		g := e.allocator.Grant(now, item.Bound, perSecond, r.Host, item.Permits)
+		g := e.allocator.Grant(now, item.Bound, e.latestLimit(now, item), r.Host, item.Permits)
 		e.handedOut.Inc(int64(g.Permits))
 		response.Items = append(response.Items, grantItem{Bound: item.Bound, Permits: g.Permits, Interval: g.Interval, AskAfter: g.AskAfter})
 	}
--- a/lavpermit/allocator.go
+++ b/lavpermit/allocator.go
@@ -48,6 +48,8 @@
 type Allocator[K comparable] struct {
 	buckets map[K]*bucket
 	sweptAt time.Time
+	// share is the part of each bound that this holder hands out.
+	share float64
 }
 
 // bucket holds the permits of one bound that nobody has yet.
@@ -60,19 +62,24 @@
 
 // NewAllocator returns an allocator that holds no bounds yet.
 func NewAllocator[K comparable]() *Allocator[K] {
-	return &Allocator[K]{buckets: make(map[K]*bucket)}
+	return &Allocator[K]{buckets: make(map[K]*bucket), share: 1}
 }
 
+// SetShare sets the part of each bound that this holder hands out. It is below 1 where it doesn't reach
+// all hosts, so that there may be other holders: what they save up, and what each hands out at
+// least, adds up too.
+func (a *Allocator[K]) SetShare(share float64) { a.share = share }
+
 // Grant answers a host that asks for permits of a bound, which allows perSecond requests.
 func (a *Allocator[K]) Grant(now time.Time, bound K, perSecond float64, asker string, want int) Grant {
 	a.sweep(now)
-	perSecond = max(perSecond, MinPerSecond)
+	perSecond = max(perSecond, MinPerSecond) * a.share
 	b := a.buckets[bound]
 	if b == nil {
 		b = &bucket{filledAt: now, askers: make(askers)}
 		a.buckets[bound] = b
 	}
-	b.fill(now, perSecond)
+	b.fill(now, perSecond, a.share)
 	b.askers[asker] = now
 	b.askers.forget(now)
 	return Grant{
@@ -82,9 +89,10 @@
 	}
 }
 
-// fill adds the permits for the time since the last call.
-func (b *bucket) fill(now time.Time, perSecond float64) {
-	most := BurstPermits + perSecond*BurstTime.Seconds()
+// fill adds the permits for the time since the last call. A holder of a share saves up its part of
+// BurstPermits, but one at least, since it hands out whole ones.
+func (b *bucket) fill(now time.Time, perSecond, share float64) {
+	most := max(BurstPermits*share, 1) + perSecond*BurstTime.Seconds()
 	b.permits = min(b.permits+now.Sub(b.filledAt).Seconds()*perSecond, most)
 	b.filledAt = now
 }
