Take a crash back only if the store still names the incarnation that answered

An endpoint that had crashed and started again under its ID answered a request that was meant for the incarnation before. Not mended: a crash of the new incarnation counts as the one of the old one while hosts know the old entry.

--- a/lavhost/blockedrequest_test.go
+++ b/lavhost/blockedrequest_test.go
@@ -74,3 +74,46 @@
 		})
 	}
 }
+
+// TestRestartedEndpointDoesNotTakeItsCrashBack guards against an endpoint that has crashed, starts again under
+// its ID and answers: that says nothing for the request that crashed it. One that has not crashed does,
+// and ends a wrong block.
+func TestRestartedEndpointDoesNotTakeItsCrashBack(t *testing.T) {
+	for _, restarted := range []bool{true, false} {
+		t.Run(fmt.Sprintf("Restarted=%v", restarted), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				const hosts = 3
+				f := startFleet(t, hosts, 10)
+				defer f.end(t)
+				time.Sleep(5 * time.Second)
+				call := &lavrelay.Call{ID: "bad", Traits: lavcrash.NewTraits("s", 1, nil)}
+				crashed := []lavconfig.Endpoint{f.endpoint("e0"), f.endpoint("e1")}
+				for _, e := range crashed {
+					f.host(0).crashes.reportCrash(e, call.Traits)
+					time.Sleep(time.Second)
+				}
+				f.host(1).crashes.Answered(crashed[0], time.Now())
+				// It writes its entry half a heartbeat after its start.
+				time.Sleep(600 * time.Millisecond)
+				if restarted {
+					entry := standin.EndpointEntry("e0", 0, "s", crashed[0].Address.String(), crashed[0].FailureDomain, "ready")
+					entry.Value = []byte(standin.StartedEndpointValue("s", crashed[0].Address.String(), crashed[0].FailureDomain, "ready", 1, 1))
+					f.store.PutEntry(entry)
+				}
+				time.Sleep(10 * time.Second)
+				for i := range hosts {
+					_, blocked := f.host(i).crashes.Blocked(call)
+					lavassert.Equal(t, fmt.Sprintf("host %d refuses the request", i), blocked, restarted)
+				}
+			})
+		})
+	}
+}
+
+// endpoint returns the endpoint with an ID as the first host knows it.
+func (f *emulatedFleet) endpoint(id string) lavconfig.Endpoint {
+	s := f.host(0).state
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.endpoints[id]
+}
--- a/lavhost/blockpublisher.go
+++ b/lavhost/blockpublisher.go
@@ -59,6 +59,7 @@
 func (p *blockPublisher) Serve(ctx context.Context) error {
 	p.due = make(map[lavcrash.Trait]time.Time)
 	for ctx.Err() == nil {
+		p.blocks.retractAnswered()
 		p.publish(ctx)
 		select {
 		case <-ctx.Done():
--- a/lavhost/clusterstate.go
+++ b/lavhost/clusterstate.go
@@ -97,6 +97,14 @@
 	return members
 }
 
+// HasIncarnation reports whether an endpoint is known as this incarnation.
+func (s *clusterState) HasIncarnation(life lavconfig.Incarnation) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e, known := s.endpoints[life.ID]
+	return known && e.Incarnation() == life
+}
+
 // HasEndpointAt reports whether a known endpoint has the address.
 func (s *clusterState) HasEndpointAt(address netip.AddrPort) bool {
 	s.mu.Lock()
--- a/lavhost/crashtracker.go
+++ b/lavhost/crashtracker.go
@@ -20,6 +20,11 @@
 // that are lost in this time are part of the same report.
 const probeDelay = 30 * time.Millisecond
 
+// answerConfirmTime is how long after an answer the store must still name the incarnation that is
+// said to have crashed. An endpoint that has started again under its ID says so within a few of its
+// heartbeats, and an endpoint that is silent for that long is no longer listed.
+const answerConfirmTime = 5 * time.Second
+
 // crashMessage tells peers of a crash, of completed requests, or of an endpoint
 // that has answered after its reported crash.
 type crashMessage struct {
@@ -45,6 +50,12 @@
 	// lost are the traits of the requests that were lost with each endpoint
 	// that is being probed.
 	lost map[lavconfig.Incarnation][]lavcrash.Trait
+	// answered is when endpoints first answered after their crash, which may have been those that
+	// started again under their IDs.
+	answered map[lavconfig.Incarnation]time.Time
+	// isCurrent reports whether the store names an incarnation as the one that runs, as far as
+	// this host knows what the store says now.
+	isCurrent func(life lavconfig.Incarnation) bool
 	// blocked are the traits that were blocked when the blocks were last logged,
 	// byOwnReport those of them that a report of this host led to, and stored those
 	// whose block the store has.
@@ -67,6 +78,8 @@
 		blocksChanged: make(chan struct{}, 1),
 		attribution:   lavcrash.NewAttribution(),
 		lost:          make(map[lavconfig.Incarnation][]lavcrash.Trait),
+		answered:      make(map[lavconfig.Incarnation]time.Time),
+		isCurrent:     func(lavconfig.Incarnation) bool { return false },
 		blocked:       make(map[lavcrash.Trait]bool),
 		byOwnReport:   make(map[lavcrash.Trait]bool),
 		stored:        make(map[lavcrash.Trait]bool),
@@ -110,23 +123,48 @@
 }
 
 // Answered implements lavrelay.Suspects. An endpoint that answers a request
-// that was sent after its crash has not crashed: this host could not reach it.
+// that was sent after its crash has not crashed, and this host could not reach it,
+// unless it has started again under its ID.
 func (c *crashTracker) Answered(e lavconfig.Endpoint, sentAt time.Time) {
 	life := e.Incarnation()
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	crashedAt, crashed := c.attribution.CrashedAt(life)
-	retract := crashed && sentAt.After(crashedAt)
-	if retract {
-		c.recordAlive(life)
+	if _, known := c.answered[life]; crashed && !known && sentAt.After(crashedAt) {
+		c.answered[life] = sentAt
+	}
+}
+
+// retractAnswered drops the crashes of endpoints that have answered since and that have not started
+// again, and informs the peers.
+func (c *crashTracker) retractAnswered() {
+	now := time.Now()
+	c.mu.Lock()
+	var due []lavconfig.Incarnation
+	for life, at := range c.answered {
+		if now.Sub(at) >= answerConfirmTime {
+			due = append(due, life)
+			delete(c.answered, life)
+		}
 	}
 	c.mu.Unlock()
-	if retract {
-		c.metrics.retracted.Inc(1)
-		c.logger.Info().Str("Endpoint", e.ID).Msg("endpoint has not crashed")
-		c.broadcast(crashMessage{Alive: &life})
+	for _, life := range due {
+		if c.isCurrent(life) {
+			c.retract(life)
+		}
 	}
 }
 
+// retract drops the crash of an endpoint that has not crashed.
+func (c *crashTracker) retract(life lavconfig.Incarnation) {
+	c.mu.Lock()
+	c.recordAlive(life)
+	c.mu.Unlock()
+	c.metrics.retracted.Inc(1)
+	c.logger.Info().Str("Endpoint", life.ID).Msg("endpoint has not crashed")
+	c.broadcast(crashMessage{Alive: &life})
+}
+
 // Wait returns once no connection attempt is in progress. Each one has a
 // timeout.
 func (c *crashTracker) Wait() { c.probes.Wait() }
@@ -163,6 +201,7 @@
 func (c *crashTracker) recordCrash(r lavcrash.Report, own bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	delete(c.answered, r.Endpoint)
 	c.attribution.RecordCrash(time.Now(), r)
 	for _, t := range c.updateBlocks() {
 		c.byOwnReport[t] = own
--- a/lavhost/host.go
+++ b/lavhost/host.go
@@ -10,6 +10,7 @@
 	"os"
 	"time"
 
+	"lavenderrack.example/lavenderrack/lavconfig"
 	"lavenderrack.example/lavenderrack/lavconn"
 	"lavenderrack.example/lavenderrack/lavdatagram"
 	"lavenderrack.example/lavenderrack/lavfleet"
@@ -161,6 +162,7 @@
 	h.mesh.Handle(lavmesh.TopicCrash, h.crashes.handleMessage)
 	h.state.mergeBlock = h.crashes.mergeStored
 	h.peers.crashes = h.crashes
+	h.crashes.isCurrent = func(life lavconfig.Incarnation) bool { return h.stateCurrent() && h.state.HasIncarnation(life) }
 	relay := lavrelay.New(h.pool, h.fleet, h.confirmation, h.crashes, h.deps.Logger, h.deps.Scope, rand.Float64)
 	relay.SetPeers(h.peers)
 	relay.SetScheduler(h.schedule)
