Keep an endpoint that drains out of service when the store comes back from an older copy

Now draining is kept for the incarnation like what endpoints state in their responses, which hosts that join ask for. Endpoints whose entries give no start are not covered, since they may start again under their IDs. Other state that trusts an older store has not been looked through.

--- a/lavhost/clusterentries.go
+++ b/lavhost/clusterentries.go
@@ -76,6 +76,11 @@
 	delete(s.missing, id)
 	previous, known := s.endpoints[id]
 	s.endpoints[id] = endpoint
+	if endpoint.Leaving && !endpoint.StartedAt.IsZero() {
+		// Only its end revokes that. The store may still come back from an older copy, which says
+		// otherwise.
+		s.fleet.RecordLeaving(endpoint.Incarnation())
+	}
 	// ColdFor changes with each heartbeat of an endpoint. Peers need not be
 	// notified of that alone.
 	previous.ColdFor = endpoint.ColdFor
