--- a/lavmesh/mesh.go
+++ b/lavmesh/mesh.go
@@ -110,6 +110,8 @@
 func (m *Mesh) Serve(ctx context.Context) error {
 	tick := time.NewTicker(m.timing.DialInterval)
 	defer tick.Stop()
+	// A transport goes on with a dial that nobody waits for any more, until it is told to close.
+	defer m.client.CloseIdleConnections()
 	defer m.goroutines.Wait()
 	m.startContext(ctx)
 	defer m.cancelContext()
