--- a/lavhost/coldshare_test.go
+++ b/lavhost/coldshare_test.go
@@ -44,7 +44,7 @@
 // than it accepts since each divides that by the hosts that it can hear.
 func TestColdSharesOfHostsThatAreApart(t *testing.T) {
 	const phase = 4 * time.Second
-	for _, hosts := range []int{14, 28} {
+	for _, hosts := range []int{14, 28, 60} {
 		for _, share := range []float64{0.5, 1} {
 			t.Run(fmt.Sprintf("%d/%v", hosts, share), func(t *testing.T) {
 				t.Parallel()
--- a/lavhost/limit_test.go
+++ b/lavhost/limit_test.go
@@ -81,11 +81,11 @@
 			for _, i := range allHosts(28) {
 				f.isolate(i, true)
 			}
-			time.Sleep(deadPeerRetention + limitedPhase/2)
+			time.Sleep(deadPeerRetention + limitedPhase)
 			for _, i := range allHosts(28) {
 				f.isolate(i, false)
 			}
-		}, deadPeerRetention + limitedPhase, 160},
+		}, deadPeerRetention + 2*limitedPhase, 160},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
--- a/lavhost/retrybudget_test.go
+++ b/lavhost/retrybudget_test.go
@@ -59,7 +59,7 @@
 		{"HostsApartForLong", smallRetryHosts, 0, func(l *shareLoad) {
 			l.isolate(0.5, true)
 			l.cutOffFromStore(0.5, true)
-			l.play(14 * retryWindow)
+			l.play(18 * retryWindow)
 			l.isolate(0.5, false)
 			l.cutOffFromStore(0.5, false)
 			l.play(2 * retryWindow)
@@ -67,7 +67,7 @@
 		{"HostsEnd", smallRetryHosts, 0, func(l *shareLoad) {
 			l.play(retryWindow / 2)
 			l.fleet.kill(l.some(0.6)...)
-			l.play(3 * retryWindow)
+			l.play(15 * retryWindow)
 		}},
 		{"HostsRestartWhileApart", smallRetryHosts, 0, func(l *shareLoad) {
 			l.play(retryWindow / 2)
@@ -83,7 +83,7 @@
 			l.isolate(0.5, true)
 			l.cutOffFromStore(0.5, true)
 			l.fleet.startLater()
-			l.play(9 * retryWindow)
+			l.play(12 * retryWindow)
 			l.isolate(0.5, false)
 			l.cutOffFromStore(0.5, false)
 			l.play(2 * retryWindow)
