Say in a request's line which endpoint sent bytes that are no event, and count such streams

The new package lavevent checks each block of a stream; for now its verdict is only written down: Foreign in the line of the request, endpoints_foreign_bytes on the metrics address. Nothing else changes.

--- a/lavrelay/metrics.go
+++ b/lavrelay/metrics.go
@@ -18,6 +18,8 @@
 	// leaving, leftAlone and limited count the statements of endpoints that they will leave,
 	// want no requests for a time, or take a limited number of requests.
 	leaving, leftAlone, limited tally.Counter
+	// foreign counts the streams in which an endpoint sent bytes that are no event.
+	foreign tally.Counter
 	// retried counts the retries taken from retry budgets, and notRetried those that a budget did
 	// not allow.
 	retried, notRetried tally.Counter
@@ -51,6 +53,7 @@
 	endpoints := scope.SubScope("endpoints")
 	c.leaving, c.leftAlone = endpoints.Counter("leaving_stated"), endpoints.Counter("left_alone")
 	c.limited = endpoints.Counter("limits_stated")
+	c.foreign = endpoints.Counter("foreign_bytes")
 	c.unknown = endpoints.Counter("unknown_statements")
 	for reason := range c.excluded {
 		c.excluded[reason] = endpoints.Tagged(map[string]string{"reason": lavfleet.Reason(reason).String()}).Counter("excluded")
--- a/lavrelay/relay.go
+++ b/lavrelay/relay.go
@@ -9,7 +9,9 @@
 
 	"lavenderrack.example/lavenderrack/lavconfig"
 	"lavenderrack.example/lavenderrack/lavconn"
+	"lavenderrack.example/lavenderrack/lavevent"
 	"lavenderrack.example/lavenderrack/lavfleet"
+	"lavenderrack.example/lavenderrack/platform"
 
 	"github.com/cockroachdb/errors"
 	"github.com/phuslu/log"
@@ -106,6 +108,7 @@
 	r.fleet.CountRequest(c.Service)
 	t := &task{relay: r, call: c, out: w, tried: make(map[lavconfig.Incarnation]bool)}
 	t.events.lastID = c.LastEvent
+	t.checked = lavevent.New(c.LastEvent, platform.FieldWeightVersion)
 	if c.Hold != nil {
 		t.spool = newSpool(w, c)
 	}
@@ -132,6 +135,8 @@
 	// headSent is true once the head of a response has been sent to the caller.
 	headSent bool
 	events   events
+	// checked reads the same bytes as events and notices those that are no event.
+	checked *lavevent.Reader
 	// partialHeld is how much of a partial event is counted as held.
 	partialHeld int64
 	// retryAfter is the Retry-After time for a refused caller.
--- a/lavrelay/stream.go
+++ b/lavrelay/stream.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"lavenderrack.example/lavenderrack/lavconn"
+	"lavenderrack.example/lavenderrack/lavevent"
 	"lavenderrack.example/lavenderrack/platform"
 
 	"github.com/cockroachdb/errors"
@@ -31,6 +32,7 @@
 	defer func() { response.Close(head.IdleTimeout) }()
 	// A resumed stream begins with a whole event, so the old partial one is dropped.
 	t.events.discardPartial()
+	t.checked.Resume()
 	t.countPartial()
 	progress := t.newProgress(ctx, c, response)
 	buffer := make([]byte, streamBufferBytes)
@@ -47,6 +49,7 @@
 		if n > 0 {
 			before := t.events.count
 			whole := t.events.feed(buffer[:n])
+			t.checkBytes(c, buffer[:n])
 			t.countPartial()
 			// An event that was read counts for a resume, so that it is forwarded whatever
 			// happens to the connection.
@@ -72,6 +75,14 @@
 	}
 }
 
+// checkBytes records bytes of a stream that are no event.
+func (t *task) checkBytes(c *placement, p []byte) {
+	if _, err := t.checked.Feed(p); errors.Is(err, lavevent.ErrForeign) && t.trace.foreign == "" {
+		t.trace.recordForeign(c.endpoint.ID, t.checked.LastID(), err)
+		t.relay.metrics.foreign.Inc(1)
+	}
+}
+
 // countPartial counts the event of which only a part has arrived.
 func (t *task) countPartial() {
 	if held := int64(len(t.events.partial)); held != t.partialHeld {
--- a/lavrelay/trace.go
+++ b/lavrelay/trace.go
@@ -51,6 +51,9 @@
 	// followed its last whole event.
 	framing      lavconn.Framing
 	partialBytes int
+	// foreign describes the bytes of an endpoint that were no event of its stream, empty if there
+	// were none.
+	foreign string
 	// limit is what the endpoint of the last response states to take from all hosts, in
 	// requests per second. It is empty if the response states no limit.
 	limit string
@@ -112,6 +115,12 @@
 	return fmt.Sprintf("%d of %.3g, burst divided by %d, %s", s.Sent, s.Allowed, s.Hosts, burst)
 }
 
+// recordForeign records that bytes of an endpoint are no event of its stream, which follow a number of
+// events, such as "e1 after event 3: line is no text".
+func (t *trace) recordForeign(endpoint, lastID string, err error) {
+	t.foreign = fmt.Sprintf("%s after event %s: %v", endpoint, cmp.Or(lastID, "0"), err)
+}
+
 func (t *trace) recordError(err error) { t.failure = err.Error() }
 
 // recordWrite records the time at which bytes of a stream were sent to the caller.
@@ -167,6 +176,7 @@
 		Int("Events", t.events.count).
 		Str("Framing", t.trace.framing.String()).
 		Int("PartialBytes", t.trace.partialBytes).
+		Str("Foreign", t.trace.foreign).
 		Dur("First", t.trace.firstEvent).
 		Dur("LongestPause", t.trace.longestGap).
 		Dur("Took", time.Since(t.call.Arrived)).
--- a/lavrelay/trace_test.go
+++ b/lavrelay/trace_test.go
@@ -42,6 +42,31 @@
 	}
 }
 
+// TestLogNamesForeignBytes checks that a call's line says which endpoint sent bytes that are no event, and
+// after which event.
+func TestLogNamesForeignBytes(t *testing.T) {
+	tests := []struct {
+		name, text, want string
+	}{
+		{"Text", "internal error\n\n", `"Foreign":"e1 after event 3: line has no field of an event: `},
+		{"Binary", "\x00\n\n", `"Foreign":"e1 after event 3: line is no text: `},
+		{"OldID", "id: 2\ndata: x\n\n", `"Foreign":"e1 after event 3: ID 2 does not follow 3: `},
+		{"Comment", ": comment\n\n", `"Foreign":""`},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newFixture(standin.StreamWith(test.text, 3, standin.FramedByChunks, false))
+				var lines bytes.Buffer
+				b.relay.logger = &log.Logger{Level: log.InfoLevel, Writer: log.IOWriter{Writer: &lines}}
+				b.serve(context.Background(), b.call(lavconfig.KindStreaming))
+				lavassert.True(t, "log line has "+test.want, strings.Contains(lines.String(), test.want))
+				b.closePool()
+			})
+		})
+	}
+}
+
 // TestLogNamesTheLimit checks that a call's line says which limit it met.
 func TestLogNamesTheLimit(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
