Forward only what is an event of the run, and take a stream with other bytes for lost (ORDER)

The class: bytes count as an endpoint's answer because of where they arrive.

lavevent now decides by what a block says: text, known fields, one ID, data, and IDs that number the events of an answer from 1 on, also over a resume. The first other block ends the run: the caller has only the events before it, the stream goes on at another endpoint if route and retry budget allow, else the caller's connection is aborted. The endpoint is backed off from, but the request isn't suspected of having crashed it. Comments, blank lines and the version line are forwarded as before.

--- a/lavevent/block.go
+++ b/lavevent/block.go
@@ -20,19 +20,19 @@
 // isEmpty reports whether the block has no fields: it consists of comments or a blank line.
 func (b block) isEmpty() bool { return !b.hasID && !b.hasData && !b.hasOther }
 
-// blockLength returns the length of the first block in p, with the blank line that ends it, or 0
-// if that has not been received. A blank line at the beginning is a block by itself.
-func blockLength(p []byte) int {
-	n := 0
+// blockEnd returns the end of the block in p whose lines before from are known not to be blank, with
+// the blank line that ends it. A blank line at the beginning is a block by itself. If the block
+// is not complete, it returns the beginning of its last line and false.
+func blockEnd(p []byte, from int) (end int, complete bool) {
 	for {
-		end := bytes.IndexByte(p[n:], '\n')
-		if end < 0 {
-			return 0
+		length := bytes.IndexByte(p[from:], '\n')
+		if length < 0 {
+			return from, false
 		}
-		line := p[n : n+end]
-		n += end + 1
+		line := p[from : from+length]
+		from += length + 1
 		if len(trimCR(line)) == 0 {
-			return n
+			return from, true
 		}
 	}
 }
--- a/lavevent/reader.go
+++ b/lavevent/reader.go
@@ -25,7 +25,9 @@
 	ids        sequence
 	// partial is the beginning of a block whose end has not been received.
 	partial []byte
-	count   int
+	// lastLine is where the last line of partial begins. The lines before it are not blank.
+	lastLine int
+	count    int
 	// sinceEvent is the number of bytes since the last event.
 	sinceEvent int
 }
@@ -43,24 +45,33 @@
 func (r *Reader) Feed(p []byte) (whole []byte, err error) {
 	r.partial = append(r.partial, p...)
 	r.sinceEvent += len(p)
-	n := 0
-	for err == nil {
-		length := blockLength(r.partial[n:])
-		if length == 0 {
-			break
-		}
-		if err = r.accept(r.partial[n : n+length]); err == nil {
-			n += length
-		}
+	n, err := r.acceptBlocks()
+	if n > 0 {
+		whole = r.partial[:n:n]
+		r.partial = append([]byte(nil), r.partial[n:]...)
 	}
-	whole = r.partial[:n:n]
-	r.partial = append([]byte(nil), r.partial[n:]...)
 	if err == nil && r.sinceEvent > maxBytesWithoutEvent {
 		err = ErrEndless
 	}
 	return whole, err
 }
 
+// acceptBlocks checks the complete blocks of partial and returns the length of those that it
+// accepts.
+func (r *Reader) acceptBlocks() (n int, err error) {
+	for {
+		end, complete := blockEnd(r.partial, n+r.lastLine)
+		r.lastLine = end - n
+		if !complete {
+			return n, nil
+		}
+		if err := r.accept(r.partial[n:end]); err != nil {
+			return n, err
+		}
+		n, r.lastLine = end, 0
+	}
+}
+
 // accept checks a block and counts it if it is an event.
 func (r *Reader) accept(block []byte) error {
 	event, err := parseBlock(block, r.firstField)
@@ -94,4 +105,4 @@
 
 // Resume drops what follows the last complete block, before the stream goes on with another run
 // after the event LastID.
-func (r *Reader) Resume() { r.partial, r.sinceEvent = nil, 0 }
+func (r *Reader) Resume() { r.partial, r.lastLine, r.sinceEvent = nil, 0, 0 }
--- a/lavrelay/attempt.go
+++ b/lavrelay/attempt.go
@@ -8,6 +8,7 @@
 
 	"lavenderrack.example/lavenderrack/lavconfig"
 	"lavenderrack.example/lavenderrack/lavconn"
+	"lavenderrack.example/lavenderrack/lavevent"
 	"lavenderrack.example/lavenderrack/lavfleet"
 	"lavenderrack.example/lavenderrack/platform"
 
@@ -75,7 +76,7 @@
 		Left:      time.Until(t.call.Deadline),
 		Endpoint:  c.endpoint.ID,
 		Priority:  t.call.Prompt.Priority(c.engine),
-		LastEvent: t.events.lastID,
+		LastEvent: t.events.LastID(),
 	}
 	for i, h := range c.helpers {
 		forwarded.Helpers = append(forwarded.Helpers, platform.Helper{Address: h.Address.String(), Ticket: reservations.ticket(i)})
@@ -141,7 +142,9 @@
 	if ctx.Err() != nil {
 		return lavfleet.VerdictNone
 	}
-	if errors.Is(err, lavconn.ErrResponseLost) && !lavconn.TimedOut(err) {
+	// An endpoint that sends bytes which are no event is there, so that the request has not crashed it.
+	foreign := errors.Is(err, lavevent.ErrForeign)
+	if errors.Is(err, lavconn.ErrResponseLost) && !lavconn.TimedOut(err) && !foreign {
 		t.relay.suspects.ConnectionLost(t.call, c.endpoint)
 	}
 	return lavfleet.VerdictBad
--- a/lavrelay/relay.go
+++ b/lavrelay/relay.go
@@ -106,9 +106,13 @@
 	ctx, cancel := context.WithDeadline(ctx, c.Deadline)
 	defer cancel()
 	r.fleet.CountRequest(c.Service)
-	t := &task{relay: r, call: c, out: w, tried: make(map[lavconfig.Incarnation]bool)}
-	t.events.lastID = c.LastEvent
-	t.checked = lavevent.New(c.LastEvent, platform.FieldWeightVersion)
+	t := &task{
+		relay:  r,
+		call:   c,
+		out:    w,
+		tried:  make(map[lavconfig.Incarnation]bool),
+		events: lavevent.New(c.LastEvent, platform.FieldWeightVersion),
+	}
 	if c.Hold != nil {
 		t.spool = newSpool(w, c)
 	}
@@ -134,9 +138,8 @@
 	arrivals, runs int
 	// headSent is true once the head of a response has been sent to the caller.
 	headSent bool
-	events   events
-	// checked reads the same bytes as events and notices those that are no event.
-	checked *lavevent.Reader
+	// events reads the streams of all attempts, which are one stream to the caller.
+	events *lavevent.Reader
 	// partialHeld is how much of a partial event is counted as held.
 	partialHeld int64
 	// retryAfter is the Retry-After time for a refused caller.
--- a/lavrelay/relay_test.go
+++ b/lavrelay/relay_test.go
@@ -325,18 +325,3 @@
 		b.relay.pool.Sweep(func(netip.AddrPort) bool { return false })
 	})
 }
-
-func FuzzEvents(f *testing.F) {
-	f.Add(standin.EventsUpTo(standin.StreamEvents), 3)
-	f.Add("id: 1\r\ndata: x\r\n\r\nid: 2\n\n", 1)
-	f.Fuzz(func(t *testing.T, text string, step int) {
-		var e events
-		var out strings.Builder
-		for i := 0; i < len(text); i += max(step, 1) {
-			out.Write(e.feed([]byte(text[i:min(i+max(step, 1), len(text))])))
-		}
-		if out.String()+string(e.partial) != text {
-			t.Errorf("bytes changed: events %q and partial event %q from input %q", out.String(), e.partial, text)
-		}
-	})
-}
--- a/lavrelay/stream.go
+++ b/lavrelay/stream.go
@@ -21,9 +21,6 @@
 // framing ended properly.
 var errStreamTruncated = errors.New("stream is truncated")
 
-// errStreamEndless means that a stream sent too much without an event.
-var errStreamEndless = errors.New("stream sends bytes without end, but no event")
-
 // errCallerDisconnected means that the caller accepts no more bytes.
 var errCallerDisconnected = errors.New("caller disconnected")
 
@@ -31,8 +28,7 @@
 func (t *task) forwardStream(ctx context.Context, c *placement, response *lavconn.Response, head platform.Response) (Outcome, error) {
 	defer func() { response.Close(head.IdleTimeout) }()
 	// A resumed stream begins with a whole event, so the old partial one is dropped.
-	t.events.discardPartial()
-	t.checked.Resume()
+	t.events.Resume()
 	t.countPartial()
 	progress := t.newProgress(ctx, c, response)
 	buffer := make([]byte, streamBufferBytes)
@@ -46,46 +42,57 @@
 			return 0, t.streamError(ctx, err)
 		}
 		n, err := response.Read(buffer)
-		if n > 0 {
-			before := t.events.count
-			whole := t.events.feed(buffer[:n])
-			t.checkBytes(c, buffer[:n])
-			t.countPartial()
-			// An event that was read counts for a resume, so that it is forwarded whatever
-			// happens to the connection.
-			if t.forwardBytes(ctx, response, whole) != nil {
-				return OutcomeLeft, nil
-			}
-			if t.events.count > before {
-				if err := progress.recordEvent(); err != nil {
-					return 0, err
-				}
-			}
-		}
-		if t.events.endless() {
-			return 0, errors.Mark(errStreamEndless, lavconn.ErrResponseLost)
+		if outcome, err := t.forwardEvents(ctx, progress, buffer[:n]); outcome != again || err != nil {
+			return outcome, err
 		}
-		t.trace.partialBytes = len(t.events.partial)
+		t.trace.partialBytes = len(t.events.Partial())
 		switch {
 		case errors.Is(err, io.EOF):
-			return t.endStream(ctx, response, progress.begun)
+			return t.endStream(response, progress.begun)
 		case err != nil:
 			return 0, t.streamError(ctx, err)
 		}
 	}
 }
 
-// checkBytes records bytes of a stream that are no event.
-func (t *task) checkBytes(c *placement, p []byte) {
-	if _, err := t.checked.Feed(p); errors.Is(err, lavevent.ErrForeign) && t.trace.foreign == "" {
-		t.trace.recordForeign(c.endpoint.ID, t.checked.LastID(), err)
+// forwardEvents forwards the events that are complete with the next bytes of a stream. It returns again
+// if the stream may go on.
+func (t *task) forwardEvents(ctx context.Context, p *progress, received []byte) (Outcome, error) {
+	if len(received) == 0 {
+		return again, nil
+	}
+	before := t.events.Count()
+	whole, invalid := t.events.Feed(received)
+	t.countPartial()
+	// An event that was read counts for a resume, so that it is forwarded whatever happens to the
+	// connection.
+	if t.forwardBytes(ctx, p.response, whole) != nil {
+		return OutcomeLeft, nil
+	}
+	if t.events.Count() > before {
+		if err := p.recordEvent(); err != nil {
+			return again, err
+		}
+	}
+	if invalid != nil {
+		return again, t.recordInvalid(p.placement, invalid)
+	}
+	return again, nil
+}
+
+// recordInvalid records that an endpoint sent bytes that are no event of its stream, or no event for
+// too long, and returns the error for its answer.
+func (t *task) recordInvalid(c *placement, err error) error {
+	if errors.Is(err, lavevent.ErrForeign) {
+		t.trace.recordForeign(c.endpoint.ID, t.events.LastID(), err)
 		t.relay.metrics.foreign.Inc(1)
 	}
+	return errors.Mark(err, lavconn.ErrResponseLost)
 }
 
 // countPartial counts the event of which only a part has arrived.
 func (t *task) countPartial() {
-	if held := int64(len(t.events.partial)); held != t.partialHeld {
+	if held := int64(len(t.events.Partial())); held != t.partialHeld {
 		t.call.Hold.Add(held - t.partialHeld)
 		t.partialHeld = held
 	}
@@ -103,15 +110,10 @@
 // framing doesn't show that a stream is complete: a connection may end, and chunks may be
 // ended, at any byte. A stream that ends inside an event, or with its connection before
 // the first event, is truncated.
-func (t *task) endStream(ctx context.Context, response *lavconn.Response, seenEvent bool) (Outcome, error) {
-	if t.events.truncated() || !seenEvent && response.Framing == lavconn.FramingClose {
+func (t *task) endStream(response *lavconn.Response, seenEvent bool) (Outcome, error) {
+	if t.events.Truncated() || !seenEvent && response.Framing == lavconn.FramingClose {
 		return 0, errors.Mark(errStreamTruncated, lavconn.ErrResponseLost)
 	}
-	partial := t.events.partial
-	t.events.discardPartial()
-	if t.forwardBytes(ctx, response, partial) != nil {
-		return OutcomeLeft, nil
-	}
 	t.sendHead(response)
 	return OutcomeDone, nil
 }
--- a/lavrelay/trace.go
+++ b/lavrelay/trace.go
@@ -173,7 +173,7 @@
 		Dur("Asked", t.trace.asked).
 		Int("Runs", t.runs).
 		Int("Refusals", t.trace.refusals).
-		Int("Events", t.events.count).
+		Int("Events", t.events.Count()).
 		Str("Framing", t.trace.framing.String()).
 		Int("PartialBytes", t.trace.partialBytes).
 		Str("Foreign", t.trace.foreign).
