--- a/lavrelay/attempt.go
+++ b/lavrelay/attempt.go
@@ -174,10 +174,16 @@
 
 // forward forwards a response to the caller. An error means that the response is incomplete.
 func (t *task) forward(ctx context.Context, c *placement, response *lavconn.Response, head platform.Response) (Outcome, error) {
-	if head.Events && response.Status < http.StatusMultipleChoices {
+	isStream := t.call.Route.Kind == lavconfig.KindStreaming
+	switch {
+	case !isStream || response.Status >= http.StatusMultipleChoices:
+		return t.forwardWhole(ctx, response, head)
+	case !head.Events:
+		response.Close(head.IdleTimeout)
+		return again, errors.Mark(errNoStream, lavconn.ErrResponseLost)
+	default:
 		return t.forwardStream(ctx, c, response, head)
 	}
-	return t.forwardWhole(ctx, response, head)
 }
 
 // forwardWhole forwards a response that is not a stream. It returns again for a server error
--- a/lavrelay/stream.go
+++ b/lavrelay/stream.go
@@ -21,6 +21,9 @@
 // framing ended properly.
 var errStreamTruncated = errors.New("stream is truncated")
 
+// errNoStream means that an endpoint answered with a success that is no stream of events.
+var errNoStream = errors.New("success is no stream of events")
+
 // errCallerDisconnected means that the caller accepts no more bytes.
 var errCallerDisconnected = errors.New("caller disconnected")
 
@@ -108,10 +111,11 @@
 
 // endStream ends the response to the caller after the end of an endpoint's stream. The
 // framing doesn't show that a stream is complete: a connection may end, and chunks may be
-// ended, at any byte. A stream that ends inside an event, or with its connection before
-// the first event, is truncated.
+// ended, at any byte. A stream that ends inside an event is truncated, and so is one without an
+// event, unless it is resumed: the caller may have had the last one.
 func (t *task) endStream(response *lavconn.Response, seenEvent bool) (Outcome, error) {
-	if t.events.Truncated() || !seenEvent && response.Framing == lavconn.FramingClose {
+	mayBeEmpty := t.events.LastID() != "" && response.Framing != lavconn.FramingClose
+	if t.events.Truncated() || !seenEvent && !mayBeEmpty {
 		return 0, errors.Mark(errStreamTruncated, lavconn.ErrResponseLost)
 	}
 	t.sendHead(response)
