Ask also after bytes that are no event whether the endpoint has crashed

An endpoint may crash beside such bytes. Only a failed connection attempt counts as a crash, so that an endpoint which is alive costs the request nothing.

--- a/lavrelay/attempt.go
+++ b/lavrelay/attempt.go
@@ -8,7 +8,6 @@
 
 	"lavenderrack.example/lavenderrack/lavconfig"
 	"lavenderrack.example/lavenderrack/lavconn"
-	"lavenderrack.example/lavenderrack/lavevent"
 	"lavenderrack.example/lavenderrack/lavfleet"
 	"lavenderrack.example/lavenderrack/platform"
 
@@ -142,9 +141,7 @@
 	if ctx.Err() != nil {
 		return lavfleet.VerdictNone
 	}
-	// An endpoint that sends bytes which are no event is there, so that the request has not crashed it.
-	foreign := errors.Is(err, lavevent.ErrForeign)
-	if errors.Is(err, lavconn.ErrResponseLost) && !lavconn.TimedOut(err) && !foreign {
+	if errors.Is(err, lavconn.ErrResponseLost) && !lavconn.TimedOut(err) {
 		t.relay.suspects.ConnectionLost(t.call, c.endpoint)
 	}
 	return lavfleet.VerdictBad
