--- a/lavhost/cold_test.go
+++ b/lavhost/cold_test.go
@@ -47,6 +47,7 @@
 // TestColdLimitIsKeptByAllHosts plays prompts that the shares of some hosts don't allow, though all
 // hosts together may send them: they are served, within the limit.
 func TestColdLimitIsKeptByAllHosts(t *testing.T) {
+	t.Parallel()
 	// served is the least share of the prompts that must reach an endpoint.
 	const served = 0.8
 	tests := []struct {
--- a/lavhost/coldshare_test.go
+++ b/lavhost/coldshare_test.go
@@ -43,6 +43,7 @@
 // TestColdSharesOfHostsThatAreApart guards against hosts that together send more to a cold endpoint
 // than it accepts since each divides that by the hosts that it can hear.
 func TestColdSharesOfHostsThatAreApart(t *testing.T) {
+	t.Parallel()
 	const phase = 4 * time.Second
 	for _, hosts := range []int{14, 28, 60} {
 		for _, share := range []float64{0.5, 1} {
--- a/lavhost/crash_test.go
+++ b/lavhost/crash_test.go
@@ -12,6 +12,7 @@
 // TestSharedSegmentCrashesFewEndpoints guards against requests that differ, but share a prompt
 // segment that crashes endpoint after endpoint.
 func TestSharedSegmentCrashesFewEndpoints(t *testing.T) {
+	t.Parallel()
 	second, first := crashingPrompt{segment: "bad2"}, crashingPrompt{segment: "bad1", first: true}
 	tests := []struct {
 		name     string
@@ -57,6 +58,7 @@
 
 // TestBlockedSegmentStaysBlocked guards against hosts that learn of a block late or forget it.
 func TestBlockedSegmentStaysBlocked(t *testing.T) {
+	t.Parallel()
 	var copied *standin.StoreCopy
 	tests := []struct {
 		name string
--- a/lavhost/limit_test.go
+++ b/lavhost/limit_test.go
@@ -45,6 +45,7 @@
 // TestStatedLimitIsKeptByAllHosts guards against hosts that together send an endpoint more than it
 // has stated to take from all of them.
 func TestStatedLimitIsKeptByAllHosts(t *testing.T) {
+	t.Parallel()
 	all, allHigh := make([]float64, promptLoadEndpoints), make([]float64, promptLoadEndpoints)
 	for i := range all {
 		all[i], allHigh[i] = 1, 5
@@ -117,6 +118,7 @@
 // TestChangedLimitIsKept guards against hosts that keep to a limit that the endpoint no longer
 // states, or to an older one.
 func TestChangedLimitIsKept(t *testing.T) {
+	t.Parallel()
 	const low, high = 1.0, 3.0
 	synctest.Test(t, func(t *testing.T) {
 		l := startPromptLoad(t, 6)
@@ -144,6 +146,7 @@
 // TestStatedLimitIsUsed guards against requests that are refused though endpoints with a limit
 // would take them, and against callers that are held for what endpoints don't take.
 func TestStatedLimitIsUsed(t *testing.T) {
+	t.Parallel()
 	const (
 		perSecond = 2.0
 		// least is the share of what the limits allow that requests must use, and
--- a/lavhost/liveness_test.go
+++ b/lavhost/liveness_test.go
@@ -28,6 +28,7 @@
 
 // TestLargeFleet checks what a fleet knows of its hosts, whose heartbeats are seconds apart.
 func TestLargeFleet(t *testing.T) {
+	t.Parallel()
 	const last = largeFleet - 1
 	t.Run("LiveHostsStay", func(t *testing.T) {
 		runFleet(t, func(t *testing.T, f *emulatedFleet) {
--- a/lavhost/retrybudget_test.go
+++ b/lavhost/retrybudget_test.go
@@ -33,6 +33,7 @@
 // TestRetryBudgetIsKeptByAllHosts guards against hosts that together send more retries than the
 // budget allows since each divides it by the hosts that it can hear.
 func TestRetryBudgetIsKeptByAllHosts(t *testing.T) {
+	t.Parallel()
 	tests := []struct {
 		name  string
 		hosts int
@@ -108,6 +109,7 @@
 
 // TestRetryBudgetIsUsed guards against shares that no host uses.
 func TestRetryBudgetIsUsed(t *testing.T) {
+	t.Parallel()
 	const used = 0.9
 	tests := []struct {
 		name         string
--- a/lavhost/schedule_test.go
+++ b/lavhost/schedule_test.go
@@ -137,6 +137,7 @@
 // TestHostsKeepTheSlotsOfEndpoints plays a burst of prompts at all hosts, for 0.7 of the slots. By
 // their own reports hosts overfill some endpoints while others have free slots.
 func TestHostsKeepTheSlotsOfEndpoints(t *testing.T) {
+	t.Parallel()
 	const (
 		promptsPerHost = 9
 		prompts        = promptsPerHost * scheduleHosts
@@ -210,6 +211,7 @@
 // TestFailureOfTheScheduler guards against prompts that are lost, or held for longer than a scheduler
 // may take, while the scheduler fails and a successor takes over.
 func TestFailureOfTheScheduler(t *testing.T) {
+	t.Parallel()
 	const rounds = 6
 	for _, test := range scheduleFailures {
 		t.Run(test.name, func(t *testing.T) {
@@ -260,6 +262,7 @@
 
 // TestFailureWhilePromptsWait guards against prompts that wait for a scheduler which has failed.
 func TestFailureWhilePromptsWait(t *testing.T) {
+	t.Parallel()
 	const longTokens = 13_000
 	for _, test := range scheduleFailures {
 		t.Run(test.name, func(t *testing.T) {
