Renew reserved KV cache only while the request's endpoint is alive (LEAK)

So the host's death isn't needed; the class is a lease that is renewed on behalf of somebody who may be dead.

A renewal now needs an event of the primary endpoint since the last one, or an answer to a question for its report; the lease is 2.5 s and renewed each 0.8 s, and shorter where the settings ask for less than 4 s. Who frees what a dead host had set aside: its lease, within 2.5 s.

The price is one question a renewal while a long prompt is read.

--- a/lavhost/host.go
+++ b/lavhost/host.go
@@ -166,7 +166,7 @@
 	relay := lavrelay.New(h.pool, h.fleet, h.confirmation, h.crashes, h.deps.Logger, h.deps.Scope, rand.Float64)
 	relay.SetPeers(h.peers)
 	relay.SetScheduler(h.schedule)
-	relay.LimitReservationLease(h.settings.Bounds.MaxReservationLease)
+	relay.LimitReservationLease(h.settings.Bounds.MaxReservationLease, h.settings.Bounds.MaxLeftoverReservation)
 	h.ingress = &ingress{
 		state:        h.state,
 		confirmation: h.confirmation,
--- a/lavhost/settings.go
+++ b/lavhost/settings.go
@@ -86,7 +86,7 @@
 	h.drain.setGrace(s.Bounds.Grace)
 	h.peers.setSeeds(s.Seeds)
 	h.directory.setTTL(boundedDirectoryTTL(s.Bounds.MaxDirectoryTTL))
-	h.ingress.relay.LimitReservationLease(s.Bounds.MaxReservationLease)
+	h.ingress.relay.LimitReservationLease(s.Bounds.MaxReservationLease, s.Bounds.MaxLeftoverReservation)
 }
 
 func fleetBounds(b platform.Bounds) lavfleet.Bounds {
--- a/lavrelay/attempt.go
+++ b/lavrelay/attempt.go
@@ -27,6 +27,7 @@
 		return again
 	}
 	defer reservations.release()
+	t.reservations = reservations
 	t.stopWatch = t.watchFirstEvent(ctx, c)
 	defer t.stopWatch()
 	sentAt := time.Now()
--- a/lavrelay/progress.go
+++ b/lavrelay/progress.go
@@ -61,6 +61,7 @@
 		p.task.querySlowdown(p.ctx, p.placement.endpoint)
 	}
 	p.begun, p.lastEventAt = true, now
+	p.task.reservations.heard.Store(true)
 	p.task.trace.recordEvent(p.placement.run)
 	return p.limitSilence()
 }
--- a/lavrelay/relay.go
+++ b/lavrelay/relay.go
@@ -83,12 +83,16 @@
 }
 
 // LimitReservationLease limits the lease of further reservations to the longest that
-// endpoints grant. Zero means no limit.
-func (r *Relay) LimitReservationLease(longest time.Duration) {
+// endpoints grant, and so that none outlasts its request by more than leftover, also if the
+// request ends with its endpoint right after a renewal. Zero means no limit.
+func (r *Relay) LimitReservationLease(longest, leftover time.Duration) {
 	lease := reservationLease
 	if longest > 0 {
 		lease = min(lease, longest)
 	}
+	if leftover > 0 {
+		lease = min(lease, max(leftover-renewInterval-reportTimeout, renewInterval))
+	}
 	r.reservationLease.Store(int64(lease))
 }
 
@@ -144,6 +148,8 @@
 	partialHeld int64
 	// retryAfter is the Retry-After time for a refused caller.
 	retryAfter time.Duration
+	// reservations are those of the attempt that is being made.
+	reservations *reservationSet
 	// stopWatch stops the watch for an overdue first event.
 	stopWatch func() bool
 	// spool holds what the caller has not accepted yet. It is nil where that isn't bounded.
--- a/lavrelay/reserve.go
+++ b/lavrelay/reserve.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"lavenderrack.example/lavenderrack/lavconfig"
@@ -20,9 +21,9 @@
 const (
 	// reservationLease is the lease of a reservation. It is short so that the
 	// reservations of a failed host expire soon.
-	reservationLease = 3500 * time.Millisecond
+	reservationLease = 2500 * time.Millisecond
 	// renewInterval is short enough that a reservation survives two lost renewals.
-	renewInterval = time.Second
+	renewInterval = 800 * time.Millisecond
 	orderTimeout  = 500 * time.Millisecond
 )
 
@@ -31,9 +32,12 @@
 // reservationSet is the KV cache space that is reserved for one attempt.
 type reservationSet struct {
 	task         *task
+	primary      lavconfig.Endpoint
 	reservations []reservation
-	stop         context.CancelFunc
-	renewal      sync.WaitGroup
+	// heard is true if the primary endpoint has sent an event since the last renewal.
+	heard   atomic.Bool
+	stop    context.CancelFunc
+	renewal sync.WaitGroup
 }
 
 // reservation is KV cache space at one helper.
@@ -54,7 +58,7 @@
 
 // reserve reserves the KV cache space that a plan needs at all helpers, or at none.
 func (t *task) reserve(ctx context.Context, c *placement) (*reservationSet, error) {
-	h := &reservationSet{task: t, stop: func() {}}
+	h := &reservationSet{task: t, primary: c.endpoint, stop: func() {}}
 	for i, tokens := range c.plan.Reserve {
 		h.reservations = append(h.reservations, reservation{
 			endpoint: c.helpers[i],
@@ -135,15 +139,30 @@
 	return platform.DecodeResponse(response.StatusCode, response.Header).ID == ""
 }
 
-// renew renews the reservations until the context ends.
+// renew renews the reservations until the context ends, as long as the primary endpoint is alive: the
+// request has ended with an endpoint that is not, although its connection may stay open.
 func (h *reservationSet) renew(ctx context.Context) {
 	_ = lavpause.Every(ctx, renewInterval, func() {
-		if err := h.reserveAll(ctx); err != nil && ctx.Err() == nil {
+		err := h.checkPrimary(ctx)
+		if err == nil {
+			err = h.reserveAll(ctx)
+		}
+		if err != nil && ctx.Err() == nil {
 			h.task.relay.logger.Warn().Str("Request", h.task.call.ID).Err(err).Msg("could not renew reservation")
 		}
 	})
 }
 
+// checkPrimary returns an error if the primary endpoint has sent no event since the last renewal and
+// doesn't answer.
+func (h *reservationSet) checkPrimary(ctx context.Context) error {
+	if h.heard.Swap(false) {
+		return nil
+	}
+	_, err := h.task.relay.fetchReport(ctx, h.primary)
+	return err
+}
+
 // release ends the reservations in the background. If that fails, their leases expire.
 func (h *reservationSet) release() {
 	h.stop()
