--- a/lavrelay/nostream_test.go
+++ b/lavrelay/nostream_test.go
@@ -63,7 +63,7 @@
 		b := newFixture(standin.Stream(standin.StreamEvents))
 		c := b.call(lavconfig.KindStreaming)
 		c.LastEvent = "6"
-		c.Header.Set("Last-Event-Id", c.LastEvent)
+		c.Header = standin.ResumeHeaders(c.ID, c.LastEvent)
 		out := b.serve(context.Background(), c)
 		lavassert.True(t, "connection not aborted", !out.aborted)
 		lavassert.Equal(t, "status", out.Code, http.StatusOK)
