Send on only what can end before a leaving host has left, and answer all others

Callers saw: in a planned stop of a host, in calm, requests that came late in the grace were taken and sent on, and their connections closed without an answer at the end of the grace. Some may run only once.

Cause, three parts. The decision who may still be sent on compared what was left of the grace with the route's timeout, so that a route without one was always taken, though its requests may last 10 s. It was taken once, on arrival: a request that waited for its body or for an endpoint after that was sent on late, whatever was left. And nothing ended the requests at the end of the grace: the server closed their connections, also of those that had never been sent.

The mend: drain.MayBegin decides alone, from the deadline of the call itself: it may begin if that falls within the grace, or if it is a stream and the stop has just begun (2.5 s, a third of a shorter grace). It is asked on arrival and again right before each attempt of a call that hasn't run; calls that wait for their body or for an endpoint are refused as soon as it says no, with 503, Retry-After and Connection: close. At the end of the grace all contexts of calls end with their own cause: what hasn't run gets 503, what may have run 502, and a response that has begun is broken off. Only then do the listener and the connections close. Between the last request and that nothing begins, so that the close needs no bound of 2 s for calls that began just before.

TestDrainTimes asks MayBegin with the deadline of its routes instead of rejects, which is gone; what it checks is the same. The tests of bodies pass the wait that receiveBody now takes, with the same times.

--- a/lavhost/clusterstate_test.go
+++ b/lavhost/clusterstate_test.go
@@ -222,19 +222,20 @@
 func TestDrainTimes(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		d := newDrain(8 * time.Second)
+		rejects := func(r *lavconfig.Route) bool { return !d.MayBegin(r, time.Now().Add(r.Timeout)) }
 		stream := &lavconfig.Route{Kind: lavconfig.KindStreaming, Timeout: 10 * time.Second}
 		call := &lavconfig.Route{Kind: lavconfig.KindSafe, Timeout: time.Second, Objective: 300 * time.Millisecond}
-		lavassert.True(t, "accepts streams before the drain", !d.rejects(stream))
+		lavassert.True(t, "accepts streams before the drain", !rejects(stream))
 		d.start()
-		lavassert.True(t, "accepts streams as the drain starts", !d.rejects(stream))
+		lavassert.True(t, "accepts streams as the drain starts", !rejects(stream))
 		time.Sleep(2 * time.Second)
-		lavassert.True(t, "accepts streams after 2 s", !d.rejects(stream))
+		lavassert.True(t, "accepts streams after 2 s", !rejects(stream))
 		time.Sleep(time.Second)
-		lavassert.True(t, "rejects streams that may outlast the grace period", d.rejects(stream))
+		lavassert.True(t, "rejects streams that may outlast the grace period", rejects(stream))
 		time.Sleep(2 * time.Second)
-		lavassert.True(t, "accepts calls that end within the grace period", !d.rejects(call))
+		lavassert.True(t, "accepts calls that end within the grace period", !rejects(call))
 		time.Sleep(3 * time.Second)
-		lavassert.True(t, "rejects calls at the end of the grace period", d.rejects(call))
+		lavassert.True(t, "rejects calls at the end of the grace period", rejects(call))
 	})
 }
 
--- a/lavhost/host.go
+++ b/lavhost/host.go
@@ -166,6 +166,7 @@
 	relay := lavrelay.New(h.pool, h.fleet, h.confirmation, h.crashes, h.deps.Logger, h.deps.Scope, rand.Float64)
 	relay.SetPeers(h.peers)
 	relay.SetScheduler(h.schedule)
+	relay.SetDeparture(h.drain)
 	relay.LimitReservationLease(h.settings.Bounds.MaxReservationLease)
 	h.ingress = &ingress{
 		state:        h.state,
@@ -235,14 +236,15 @@
 	h.drain.start()
 	h.peers.Leave()
 	h.drain.wait(ctx, h.ingress)
+	h.drain.end()
 	h.closeCallers(ctx)
 	h.ingress.relay.Wait()
 	h.crashes.Wait()
 	h.deps.Logger.Info().Int64("Running", h.ingress.running.Load()).Msg("drained")
 }
 
-// closeCallers closes the listener for callers, and waits for the requests that came between
-// the end of the drain and that.
+// closeCallers closes the listener for callers, and waits for the last answers and for the requests
+// that came between the end of the drain and that.
 func (h *Host) closeCallers(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, max(min(h.drain.remaining(), maxCloseWait), minCloseWait))
 	defer cancel()
--- a/lavhost/ingress.go
+++ b/lavhost/ingress.go
@@ -74,13 +74,20 @@
 		i.refuse(w, request, status, reason)
 		return
 	}
-	if i.drain.rejects(route) {
-		i.refuse(w, request, http.StatusServiceUnavailable, "host is leaving")
+	until := deadline(arrived, request.Timeout, route.Timeout)
+	if !i.drain.MayBegin(route, until) {
+		i.refuseLeaving(w, request)
 		return
 	}
 	hold := i.beginHold(route)
 	defer hold.End()
-	body, status := i.readBody(w, r, index.Limits(), hold, deadline(arrived, request.Timeout, route.Timeout))
+	wait := &bodyWait{drain: i.drain, control: http.NewResponseController(w), route: route, deadline: until}
+	body, status := i.readBody(w, r, index.Limits(), hold, wait)
+	if !wait.isAdmitted() {
+		wait.drop()
+		i.refuseLeaving(w, request)
+		return
+	}
 	if status != 0 && hold != nil {
 		i.refuseBody(w, request, status)
 		return
@@ -136,14 +143,15 @@
 }
 
 // readBody reads the body up to the size limit, or returns the status to refuse
-// the request with. If there is a hold, it must arrive until a time.
-func (i *ingress) readBody(w http.ResponseWriter, r *http.Request, limits lavconfig.Limits, hold *lavpressure.Hold, until time.Time) ([]byte, int) {
+// the request with. If there is a hold, it must arrive until the deadline.
+func (i *ingress) readBody(w http.ResponseWriter, r *http.Request, limits lavconfig.Limits, hold *lavpressure.Hold, wait *bodyWait) ([]byte, int) {
 	if r.Body == nil || r.Body == http.NoBody {
 		return nil, 0
 	}
 	if hold != nil {
-		return receiveBody(w, r, limits.BodyBytes, hold, until)
+		return receiveBody(w, r, limits.BodyBytes, hold, wait)
 	}
+	defer wait.watch()()
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limits.BodyBytes))
 	var tooLarge *http.MaxBytesError
 	switch {
@@ -155,6 +163,12 @@
 	return body, 0
 }
 
+// refuseLeaving answers a request that can't end before this host has left.
+func (i *ingress) refuseLeaving(w http.ResponseWriter, request platform.Request) {
+	platform.SetClose(w.Header())
+	i.refuse(w, request, http.StatusServiceUnavailable, "host is leaving")
+}
+
 // refuse answers a request that this host doesn't forward.
 func (i *ingress) refuse(w http.ResponseWriter, request platform.Request, status int, reason string) {
 	i.logger.Warn().Str("Request", request.ID).Int("Status", status).Str("Why", reason).Msg("request refused")
--- a/lavhost/pressure.go
+++ b/lavhost/pressure.go
@@ -68,13 +68,13 @@
 	}
 }
 
-// receiveBody reads a body until a time, up to a size limit and as far as the account allows. It
+// receiveBody reads a body until the deadline, up to a size limit and as far as the account allows. It
 // returns the status to refuse the request with if the body was not read.
-func receiveBody(w http.ResponseWriter, r *http.Request, limit int64, hold *lavpressure.Hold, until time.Time) ([]byte, int) {
-	control := http.NewResponseController(w)
+func receiveBody(w http.ResponseWriter, r *http.Request, limit int64, hold *lavpressure.Hold, wait *bodyWait) ([]byte, int) {
 	// It also limits how long the server reads the rest of a body that is refused. A server without
 	// deadlines, as in tests, waits longer.
-	_ = control.SetReadDeadline(until)
+	_ = wait.control.SetReadDeadline(wait.deadline)
+	defer wait.watch()()
 	if r.ContentLength > limit {
 		return nil, http.StatusRequestEntityTooLarge
 	}
@@ -88,12 +88,12 @@
 		return nil, http.StatusRequestEntityTooLarge
 	case errors.Is(err, errNoMemory):
 		return nil, http.StatusServiceUnavailable
-	case err != nil && !time.Now().Before(until):
+	case err != nil && !time.Now().Before(wait.deadline):
 		return nil, http.StatusRequestTimeout
 	case err != nil:
 		return nil, http.StatusBadRequest
 	}
-	_ = control.SetReadDeadline(time.Time{})
+	_ = wait.control.SetReadDeadline(time.Time{})
 	return body, 0
 }
 
--- a/lavhost/pressure_test.go
+++ b/lavhost/pressure_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"lavenderrack.example/lavenderrack/lavassert"
+	"lavenderrack.example/lavenderrack/lavconfig"
 	"lavenderrack.example/lavenderrack/lavfakenet"
 	"lavenderrack.example/lavenderrack/lavpressure"
 	"lavenderrack.example/lavenderrack/platform"
@@ -28,11 +29,22 @@
 	return 0, io.EOF
 }
 
+// waitFor is a wait of a host that doesn't leave.
+func waitFor(w http.ResponseWriter, timeout time.Duration) *bodyWait {
+	return &bodyWait{
+		drain:    newDrain(time.Minute),
+		control:  http.NewResponseController(w),
+		route:    &lavconfig.Route{},
+		deadline: time.Now().Add(timeout),
+	}
+}
+
 // receive receives a body with a declared length, which is negative if it is unknown.
 func receive(body io.Reader, declared int64, hold *lavpressure.Hold) ([]byte, int) {
 	r := httptest.NewRequest(http.MethodPost, "/a", body)
 	r.ContentLength = declared
-	return receiveBody(httptest.NewRecorder(), r, 1<<20, hold, time.Now().Add(time.Second))
+	w := httptest.NewRecorder()
+	return receiveBody(w, r, 1<<20, hold, waitFor(w, time.Second))
 }
 
 func TestReceiveBody(t *testing.T) {
@@ -108,7 +120,7 @@
 		service := newHTTPService("callers", l, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			hold := account.Begin(true)
 			defer hold.End()
-			_, status := receiveBody(w, r, 1<<20, hold, time.Now().Add(slowBodyTimeout))
+			_, status := receiveBody(w, r, 1<<20, hold, waitFor(w, slowBodyTimeout))
 			i.refuseBody(w, platform.Request{}, status)
 		}), discardLogger)
 		ended := make(chan error, 1)
--- a/lavrelay/metrics.go
+++ b/lavrelay/metrics.go
@@ -61,7 +61,7 @@
 	for _, cause := range lavcause.Causes() {
 		c.missed[cause] = s.Tagged(map[string]string{"cause": cause.String()}).Counter("missed")
 	}
-	for o := OutcomeDone; o <= OutcomeSlow; o++ {
+	for o := OutcomeDone; o <= OutcomeLeaving; o++ {
 		c.outcomes[o] = s.Tagged(map[string]string{"outcome": o.String()}).Counter("ended")
 	}
 	return c
--- a/lavrelay/miss.go
+++ b/lavrelay/miss.go
@@ -144,7 +144,7 @@
 		return lavcause.EndingLeft
 	case OutcomeSuspect:
 		return lavcause.EndingBlocked
-	case OutcomeUnready:
+	case OutcomeUnready, OutcomeLeaving:
 		return lavcause.EndingUnready
 	case OutcomeFull, OutcomeNoEndpoint:
 		return t.trace.refusal()
--- a/lavrelay/outcome.go
+++ b/lavrelay/outcome.go
@@ -34,4 +34,6 @@
 	// OutcomeSlow means that the caller was cut off because it did not read its response while
 	// memory was short.
 	OutcomeSlow
+	// OutcomeLeaving means that this host is leaving and can't end the call.
+	OutcomeLeaving
 )
--- a/lavrelay/outcome_string.go
+++ b/lavrelay/outcome_string.go
@@ -20,11 +20,12 @@
 	_ = x[OutcomeSuspect-9]
 	_ = x[OutcomeUnready-10]
 	_ = x[OutcomeSlow-11]
+	_ = x[OutcomeLeaving-12]
 }
 
-const _Outcome_name = "againDonePassedUnknownLateLeftFullNoEndpointBudgetSuspectUnreadySlow"
+const _Outcome_name = "againDonePassedUnknownLateLeftFullNoEndpointBudgetSuspectUnreadySlowLeaving"
 
-var _Outcome_index = [...]uint8{0, 5, 9, 15, 22, 26, 30, 34, 44, 50, 57, 64, 68}
+var _Outcome_index = [...]uint8{0, 5, 9, 15, 22, 26, 30, 34, 44, 50, 57, 64, 68, 75}
 
 func (i Outcome) String() string {
 	idx := int(i) - 0
--- a/lavrelay/refusal.go
+++ b/lavrelay/refusal.go
@@ -18,6 +18,9 @@
 	if t.headSent || o == OutcomeLeft {
 		abort(t.out, t.call.FramedByClose)
 	}
+	if o == OutcomeLeaving {
+		platform.SetClose(t.out.Header())
+	}
 	platform.SetRefusalHeaders(t.out.Header(), t.call.ID, t.retryAfterFor(o))
 	t.out.WriteHeader(t.status(o))
 	_, _ = io.WriteString(t.out, o.String()+"\n")
--- a/lavrelay/relay.go
+++ b/lavrelay/relay.go
@@ -48,6 +48,7 @@
 	draw      func() float64
 	peers     Peers
 	scheduler Scheduler
+	departure Departure
 	metrics   metrics
 	// buffers is what responses may still buffer.
 	buffers byteBudget
@@ -75,6 +76,7 @@
 		draw:      draw,
 		peers:     noPeers{},
 		scheduler: noScheduler{},
+		departure: noDeparture{},
 		metrics:   newMetrics(scope),
 	}
 	r.reservationLease.Store(int64(reservationLease))
@@ -105,6 +107,8 @@
 func (r *Relay) Serve(ctx context.Context, w http.ResponseWriter, c *Call) {
 	ctx, cancel := context.WithDeadline(ctx, c.Deadline)
 	defer cancel()
+	ctx, stop := r.untilLeft(ctx)
+	defer stop()
 	r.fleet.CountRequest(c.Service)
 	t := &task{
 		relay:  r,
@@ -162,9 +166,9 @@
 		if t.blocked() {
 			return t.giveUp(ctx, OutcomeSuspect)
 		}
-		chosen, outcome := t.choose(ctx)
+		chosen, outcome := t.chooseInTime(ctx)
 		if chosen == nil {
-			return t.giveUp(ctx, outcome)
+			return outcome
 		}
 		// The choice may have waited.
 		if t.blocked() {
@@ -208,9 +212,11 @@
 }
 
 // giveUp returns the outcome of a call that ends without a response: the given one, unless
-// the caller has disconnected or the deadline has passed.
+// the caller has disconnected, the deadline has passed or this host leaves.
 func (t *task) giveUp(ctx context.Context, outcome Outcome) Outcome {
 	switch {
+	case errors.Is(context.Cause(ctx), errHostLeaves):
+		return OutcomeLeaving
 	case errors.Is(ctx.Err(), context.Canceled):
 		return OutcomeLeft
 	case ctx.Err() != nil:
