Keep to the grace that held at SIGTERM when the settings name a longer one during the stop

Callers could see: a settings file that is changed during a planned stop, as for the next start, makes the host count on a grace that the platform may not keep; at the end of the old one it is killed with its requests.

Cause: setGrace took any value, also for a drain in progress. Evidence: TestGraceOfADrainInProgress failed before (19.4 s left where 9.4 s are). A shorter grace still holds at once, since the process may be killed by either.

--- a/lavhost/drain.go
+++ b/lavhost/drain.go
@@ -65,7 +65,14 @@
 	return d
 }
 
-func (d *drain) setGrace(grace time.Duration) { d.grace.Store(int64(grace)) }
+// setGrace sets the grace period. One in progress only becomes shorter, since the process may be killed
+// at the end of the one that held when it began.
+func (d *drain) setGrace(grace time.Duration) {
+	if d.started() {
+		grace = min(grace, time.Duration(d.grace.Load()))
+	}
+	d.grace.Store(int64(grace))
+}
 
 // start starts the drain.
 func (d *drain) start() {
--- a/lavhost/drain_test.go
+++ b/lavhost/drain_test.go
@@ -56,6 +56,20 @@
 	}
 }
 
+// TestGraceOfADrainInProgress guards against requests that count on a longer grace than the one that held at SIGTERM.
+func TestGraceOfADrainInProgress(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDrain(8 * time.Second)
+		d.setGrace(10 * time.Second)
+		lavassert.Equal(t, "longer before the drain", d.remaining(), 10*time.Second)
+		d.start()
+		d.setGrace(20 * time.Second)
+		lavassert.Equal(t, "as it was at the start", d.remaining(), 10*time.Second-exitMargin)
+		d.setGrace(5 * time.Second)
+		lavassert.Equal(t, "shorter in the drain", d.remaining(), 5*time.Second-exitMargin)
+	})
+}
+
 // TestEndOfADrain guards against a drain that ends before its requests have ended, or after the grace.
 func TestEndOfADrain(t *testing.T) {
 	const grace = 8 * time.Second
