--- a/lavconn/exchange.go
+++ b/lavconn/exchange.go
@@ -52,6 +52,8 @@
 	// the endpoint is tried. If that fails, the exchange is aborted. Zero
 	// disables the probe.
 	ProbeAfter time.Duration
+	// Silence ends the exchange for want of progress.
+	Silence Silence
 }
 
 // ResponseMatcher reports whether a response belongs to the pending request.
@@ -83,8 +85,12 @@
 	}
 	stop := context.AfterFunc(ctx, c.close)
 	c.startProbeTimer(r.ProbeAfter)
+	c.silence = c.watchSilence(ctx, r.Silence)
+	c.silence.beginRead()
 	response, err := c.exchange(r, matches)
+	c.silence.endRead()
 	if err != nil {
+		c.silence.stop()
 		c.stopProbeTimer()
 		stop()
 		c.close()
@@ -254,7 +260,9 @@
 // Read reads the body. If the body is truncated, it returns an error that wraps
 // ErrResponseLost instead of io.EOF.
 func (r *Response) Read(p []byte) (int, error) {
+	r.conn.silence.beginRead()
 	n, err := r.body.Read(p)
+	r.conn.silence.endRead()
 	r.conn.resetProbeTimer()
 	switch {
 	case errors.Is(err, io.EOF):
@@ -265,17 +273,12 @@
 	return n, err
 }
 
-// SetReadTimeout limits the wait for further bytes of the body, counted from
-// now.
-func (r *Response) SetReadTimeout(d time.Duration) error {
-	return r.conn.SetReadDeadline(time.Now().Add(d))
-}
-
 // Close ends the exchange. If the response was read completely and the
 // connection can be reused, the connection is returned to the pool. Keep is how
 // long the endpoint keeps idle connections open. Otherwise the connection is
 // closed.
 func (r *Response) Close(idleTimeout time.Duration) {
+	r.conn.silence.stop()
 	r.conn.stopProbeTimer()
 	notCancelled := r.cancelWatch()
 	sent, _ := r.conn.lastWrite.result()
--- a/lavconn/pool.go
+++ b/lavconn/pool.go
@@ -54,6 +54,8 @@
 	// fires.
 	probeAfter time.Duration
 	probeTimer *time.Timer
+	// silence watches the current exchange. It is nil if nothing is to be watched.
+	silence *silenceWatch
 }
 
 func (c *conn) close() {
--- a/lavconn/probe.go
+++ b/lavconn/probe.go
@@ -28,8 +28,11 @@
 	}
 }
 
-// ResumeProbe enables the probe again.
-func (r *Response) ResumeProbe() { r.conn.resetProbeTimer() }
+// ResumeProbe enables the probe again, and counts the silence of the endpoint from now.
+func (r *Response) ResumeProbe() {
+	r.conn.resetProbeTimer()
+	r.RestartSilence()
+}
 
 func (c *conn) stopProbeTimer() {
 	if c.probeAfter > 0 {
--- a/lavfleet/cold.go
+++ b/lavfleet/cold.go
@@ -109,6 +109,10 @@
 	}
 }
 
+// uncountSent takes back a request that was counted at a time but not sent. A permit of a pool stays
+// used, since its holder may have been told.
+func (s *endpointState) uncountSent(at time.Time) { s.sent.remove(at) }
+
 // pooledAsks returns the questions for permits to send requests to endpoints that may be cold. Only
 // requests that no endpoint takes need some; the endpoints for which this host might have asked the
 // longest come first. Permits that were used are told in any case. The caller holds the lock.
--- a/lavfleet/fleet.go
+++ b/lavfleet/fleet.go
@@ -314,3 +314,14 @@
 	share := svc.budget.spend(time.Now(), f.bounds.Retry, f.burst)
 	return share, !share.Exhausted()
 }
+
+// RetryShare returns this host's share of a service's retry budget.
+func (f *Fleet) RetryShare(name string) RetryShare {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	svc := f.services[name]
+	if svc == nil {
+		return RetryShare{}
+	}
+	return svc.budget.share(time.Now(), f.bounds.Retry, f.burst)
+}
--- a/lavfleet/permits.go
+++ b/lavfleet/permits.go
@@ -203,9 +203,15 @@
 	}
 }
 
+// takenPermit is a permit for an endpoint that a run has used up.
+type takenPermit struct {
+	endpoint *endpointState
+	expires  time.Time
+}
+
 // takePermits uses up a permit for each endpoint that has stated a limit, or none if one is missing.
 // The caller holds the lock.
-func (f *Fleet) takePermits(allocations []Allocation, now time.Time) bool {
+func (f *Fleet) takePermits(allocations []Allocation, now time.Time) (taken []takenPermit, ok bool) {
 	var limited []*endpointState
 	for _, a := range allocations {
 		s := f.endpoints[a.Life]
@@ -213,12 +219,13 @@
 			continue
 		}
 		if s.stock.Count(now) == 0 {
-			return false
+			return nil, false
 		}
 		limited = append(limited, s)
 	}
 	for _, s := range limited {
+		taken = append(taken, takenPermit{endpoint: s, expires: s.stock.NextExpiry()})
 		s.stock.Take(now)
 	}
-	return true
+	return taken, true
 }
--- a/lavfleet/run.go
+++ b/lavfleet/run.go
@@ -23,15 +23,23 @@
 	prefills []*prefill
 	observed observed
 	begunAt  time.Time
+	// permits are those that the run has used up.
+	permits []takenPermit
+	// tookRetry is true if the run has taken a retry from the budget of its service at begunAt.
+	tookRetry bool
 }
 
 // Begin counts a run on its endpoints. The first allocation is for the primary endpoint,
 // which receives the request. Begin returns nil if that endpoint may no longer receive it, or
 // if a permit for one of the endpoints is missing: a part of a prompt needs one like a request.
 func (f *Fleet) Begin(allocations []Allocation) *Run {
-	now := time.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	return f.begin(allocations, time.Now())
+}
+
+// begin is Begin at a time. The caller holds the lock.
+func (f *Fleet) begin(allocations []Allocation, now time.Time) *Run {
 	primary := f.endpoints[allocations[0].Life]
 	if primary == nil || f.exclusion(primary, now) != ReasonNone {
 		return nil
@@ -40,11 +48,12 @@
 	if svc != nil && f.coldReason(svc, primary, now) != ReasonNone {
 		return nil
 	}
-	if !f.takePermits(allocations, now) {
+	permits, ok := f.takePermits(allocations, now)
+	if !ok {
 		return nil
 	}
 	f.countSent(svc, primary, now)
-	r := &Run{fleet: f, allocations: allocations, begunAt: now}
+	r := &Run{fleet: f, allocations: allocations, begunAt: now, permits: permits}
 	for _, p := range allocations {
 		r.addAllocation(now, p)
 	}
@@ -52,6 +61,64 @@
 	return r
 }
 
+// BeginRetry is Begin for a run that needs room at its primary endpoint and a retry from the budget of
+// its service. It counts both or neither, and returns the share from which the retry was to be taken.
+func (f *Fleet) BeginRetry(allocations []Allocation) (*Run, RetryShare) {
+	now := time.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	primary := f.endpoints[allocations[0].Life]
+	svc := f.serviceOf(allocations[0].Life)
+	if svc == nil {
+		return nil, RetryShare{}
+	}
+	share := svc.budget.share(now, f.bounds.Retry, f.burst)
+	if share.Exhausted() || !lavplan.HasRoom(svc.Engine, primary.candidate(now), allocations[0].Load) {
+		return nil, share
+	}
+	r := f.begin(allocations, now)
+	if r != nil {
+		svc.budget.retries.add(now)
+		r.tookRetry = true
+	}
+	return r, share
+}
+
+// serviceOf returns the service of an endpoint, or nil. The caller holds the lock.
+func (f *Fleet) serviceOf(life lavconfig.Incarnation) *service {
+	s := f.endpoints[life]
+	if s == nil {
+		return nil
+	}
+	return f.services[s.Service]
+}
+
+// Cancel ends a run whose request was not sent anywhere, and gives back what it has used up.
+func (r *Run) Cancel() {
+	r.ReturnRetry()
+	r.End(VerdictNone)
+	r.fleet.mu.Lock()
+	defer r.fleet.mu.Unlock()
+	for _, p := range r.permits {
+		p.endpoint.stock.Return(p.expires)
+	}
+	if s := r.fleet.endpoints[r.allocations[0].Life]; s != nil {
+		s.uncountSent(r.begunAt)
+	}
+}
+
+// ReturnRetry gives back the retry that the run has taken, if it has. No other run may have been sent
+// for it. It counts in no window then, so that the bound holds.
+func (r *Run) ReturnRetry() {
+	r.fleet.mu.Lock()
+	defer r.fleet.mu.Unlock()
+	svc := r.fleet.serviceOf(r.allocations[0].Life)
+	if r.tookRetry && svc != nil {
+		svc.budget.retries.remove(r.begunAt)
+	}
+	r.tookRetry = false
+}
+
 // addAllocation counts one allocation. The caller holds the fleet's lock.
 func (r *Run) addAllocation(now time.Time, p Allocation) {
 	var added *prefill
--- a/lavfleet/snapshot.go
+++ b/lavfleet/snapshot.go
@@ -77,15 +77,20 @@
 
 // add adds an endpoint with its load on all hosts.
 func (b *Snapshot) add(s *endpointState, now time.Time) {
+	b.Endpoints = append(b.Endpoints, s.Endpoint)
+	b.Candidates = append(b.Candidates, s.candidate(now))
+}
+
+// candidate returns the endpoint with its load on all hosts.
+func (s *endpointState) candidate(now time.Time) lavplan.Candidate {
 	load := s.local.Plus(s.peerLoad)
 	load.Prefill = s.backlog(now)
-	b.Endpoints = append(b.Endpoints, s.Endpoint)
-	b.Candidates = append(b.Candidates, lavplan.Candidate{
+	return lavplan.Candidate{
 		Load:      load,
 		Slots:     s.Slots,
 		Slowdown:  s.slowdown.current(now),
 		InBackoff: s.backoff.active(now),
-	})
+	}
 }
 
 // reason returns why an endpoint may not receive a request now, or ReasonNone. The caller holds the
--- a/lavfleet/stepcounts.go
+++ b/lavfleet/stepcounts.go
@@ -25,6 +25,18 @@
 	c.totals[c.last%len(c.totals)]++
 }
 
+// remove takes back an event that was added at a time. It does nothing if the counts no longer reach
+// back to that.
+func (c *stepCounts) remove(at time.Time) {
+	step := c.stepOf(at)
+	if c.last-step >= len(c.totals) {
+		return
+	}
+	for i := step; i <= c.last; i++ {
+		c.totals[i%len(c.totals)]--
+	}
+}
+
 // advance sets the totals of the steps up to one.
 func (c *stepCounts) advance(step int) {
 	total := c.totals[c.last%len(c.totals)]
--- a/lavfleet/window.go
+++ b/lavfleet/window.go
@@ -1,6 +1,9 @@
 package lavfleet
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // window counts events over a sliding period. The caller passes the current time.
 type window struct {
@@ -19,3 +22,10 @@
 }
 
 func (w *window) add(now time.Time) { w.times = append(w.times, now) }
+
+// remove takes back an event that was added at a time.
+func (w *window) remove(at time.Time) {
+	if i := slices.IndexFunc(w.times, at.Equal); i >= 0 {
+		w.times = slices.Delete(w.times, i, i+1)
+	}
+}
--- a/lavpermit/stock.go
+++ b/lavpermit/stock.go
@@ -1,6 +1,9 @@
 package lavpermit
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Stock is the permits of one bound that a host has, and what it knows about further ones. The
 // zero value holds none.
@@ -117,6 +120,15 @@
 	return true
 }
 
+// NextExpiry returns when the permit expires that Take would use up. There must be one.
+func (s *Stock) NextExpiry() time.Time { return s.batches[0].expires }
+
+// Return takes back a permit that was taken but not used, and that expires at a time.
+func (s *Stock) Return(expires time.Time) {
+	s.batches = append(s.batches, batch{permits: 1, expires: expires})
+	slices.SortStableFunc(s.batches, func(a, b batch) int { return a.expires.Compare(b.expires) })
+}
+
 func (s *Stock) expire(now time.Time) {
 	expired := 0
 	for expired < len(s.batches) && !now.Before(s.batches[expired].expires) {
--- a/lavplan/admit.go
+++ b/lavplan/admit.go
@@ -29,6 +29,15 @@
 	}
 }
 
+// HasRoom reports whether a request with a load can begin at a candidate at once. The engine is nil
+// for services that aren't model engines.
+func HasRoom(e *lavconfig.Engine, c Candidate, l Load) bool {
+	if c.Slots > 0 && c.Requests >= c.Slots {
+		return false
+	}
+	return e == nil || c.KVTokens+l.KVTokens <= kvLimit(e)
+}
+
 // Bounds of the Retry-After time that a refused caller is given.
 const (
 	minRetryAfter = 1200 * time.Millisecond
--- a/lavrelay/attempt.go
+++ b/lavrelay/attempt.go
@@ -22,6 +22,8 @@
 	incarnation := c.endpoint.Incarnation()
 	t.tried[incarnation] = true
 	t.trace.recordAttempt(c)
+	silence, probe := t.silenceLimits(t.runs + 1)
+	t.takeover = t.newTakeover(silence)
 	reservations, err := t.reserve(ctx, c)
 	if err != nil {
 		return again
@@ -30,7 +32,7 @@
 	t.stopWatch = t.watchFirstEvent(ctx, c)
 	defer t.stopWatch()
 	sentAt := time.Now()
-	response, err := t.relay.pool.Do(ctx, c.endpoint.Address, t.request(c, reservations), t.matchesCall)
+	response, err := t.relay.pool.Do(ctx, c.endpoint.Address, t.request(c, reservations, probe), t.matchesCall)
 	if err != nil {
 		verdict = t.recordFailure(ctx, c, err)
 		return t.afterNoResponse(ctx, err)
@@ -68,8 +70,7 @@
 }
 
 // request returns the request in the form in which the primary endpoint receives it.
-func (t *task) request(c *placement, reservations *reservationSet) lavconn.Request {
-	silence, probe := t.silenceLimits(t.runs + 1)
+func (t *task) request(c *placement, reservations *reservationSet, probe time.Duration) lavconn.Request {
 	forwarded := platform.ForwardedRequest{
 		Customer:  t.call.Customer,
 		Left:      time.Until(t.call.Deadline),
@@ -91,8 +92,8 @@
 		Header:        platform.EncodeForwardedRequest(t.call.Header, forwarded),
 		Body:          t.call.Body,
 		NewConnection: !t.call.Route.Repeatable(),
-		HeaderTimeout: silence,
 		ProbeAfter:    probe,
+		Silence:       t.takeover.watch(),
 		WriteTimeout:  writeTimeout,
 	}
 }
--- a/lavrelay/call.go
+++ b/lavrelay/call.go
@@ -44,13 +44,14 @@
 }
 
 // Fractions of the silence after which a caller disconnects. After failoverFraction the
-// request moves to another endpoint, and after probeFraction the endpoint is probed.
+// request moves to another endpoint if one takes it, and after probeFraction the endpoint is
+// probed.
 const (
 	failoverFraction = 0.85
 	probeFraction    = 0.4
 )
 
-// silenceLimits returns how long an endpoint may be silent before the request moves to
+// silenceLimits returns how long an endpoint may be silent before the request may move to
 // another endpoint, and before the endpoint is probed. Both are zero if the request can't
 // move: silence alone is then no reason to give up the response.
 func (t *task) silenceLimits(runs int) (silence, probe time.Duration) {
--- a/lavrelay/placement.go
+++ b/lavrelay/placement.go
@@ -122,7 +122,11 @@
 // beginRun counts the run on the endpoints of a placement. It returns nil if the primary
 // endpoint may no longer receive the request.
 func (t *task) beginRun(c *placement) *placement {
-	c.run = t.relay.fleet.Begin(t.allocations(c))
+	if t.takesRetry {
+		c.run, t.trace.retryShare = t.relay.fleet.BeginRetry(t.allocations(c))
+	} else {
+		c.run = t.relay.fleet.Begin(t.allocations(c))
+	}
 	if c.run == nil {
 		return nil
 	}
--- a/lavrelay/progress.go
+++ b/lavrelay/progress.go
@@ -5,8 +5,6 @@
 	"time"
 
 	"lavenderrack.example/lavenderrack/lavconn"
-
-	"github.com/cockroachdb/errors"
 )
 
 // progress tracks when events of a stream arrive. Only events count: an endpoint that sends
@@ -17,24 +15,13 @@
 	response  *lavconn.Response
 	// ctx is the context of the call, for queries of a slow endpoint.
 	ctx context.Context
-	// silenceLimit is the longest time between two events, zero if there is no limit.
-	silenceLimit time.Duration
 	// begun is true once an event has arrived, the last one at lastEventAt.
 	begun       bool
 	lastEventAt time.Time
 }
 
 func (t *task) newProgress(ctx context.Context, c *placement, response *lavconn.Response) *progress {
-	silenceLimit, _ := t.silenceLimits(t.runs)
-	return &progress{task: t, placement: c, response: response, ctx: ctx, silenceLimit: silenceLimit}
-}
-
-// limitSilence limits the time until the next event, counted from now.
-func (p *progress) limitSilence() error {
-	if p.silenceLimit == 0 {
-		return nil
-	}
-	return errors.Mark(p.response.SetReadTimeout(p.silenceLimit), lavconn.ErrResponseLost)
+	return &progress{task: t, placement: c, response: response, ctx: ctx}
 }
 
 // awaitCaller waits while the stream must not be read any further because its caller is behind. The
@@ -47,11 +34,11 @@
 		return err
 	}
 	p.lastEventAt = time.Now()
-	return p.limitSilence()
+	return nil
 }
 
 // recordEvent records that an event has arrived.
-func (p *progress) recordEvent() error {
+func (p *progress) recordEvent() {
 	now := time.Now()
 	switch {
 	case !p.begun:
@@ -62,5 +49,5 @@
 	}
 	p.begun, p.lastEventAt = true, now
 	p.task.trace.recordEvent(p.placement.run)
-	return p.limitSilence()
+	p.response.RestartSilence()
 }
--- a/lavrelay/relay.go
+++ b/lavrelay/relay.go
@@ -144,6 +144,10 @@
 	partialHeld int64
 	// retryAfter is the Retry-After time for a refused caller.
 	retryAfter time.Duration
+	// takeover is that of the last attempt, and takesRetry is true for the asker of one, whose runs
+	// take a retry.
+	takeover   *takeover
+	takesRetry bool
 	// stopWatch stops the watch for an overdue first event.
 	stopWatch func() bool
 	// spool holds what the caller has not accepted yet. It is nil where that isn't bounded.
@@ -155,32 +159,19 @@
 
 // run makes attempts until one of them decides the call.
 func (t *task) run(ctx context.Context) Outcome {
+	defer t.cancelReserved()
 	for {
-		if err := t.relay.readiness.Await(ctx); err != nil {
-			return t.giveUp(ctx, OutcomeUnready)
-		}
-		if t.blocked() {
-			return t.giveUp(ctx, OutcomeSuspect)
-		}
-		chosen, outcome := t.choose(ctx)
+		chosen, outcome := t.nextPlacement(ctx)
 		if chosen == nil {
 			return t.giveUp(ctx, outcome)
 		}
-		// The choice may have waited.
-		if t.blocked() {
-			chosen.run.End(lavfleet.VerdictNone)
-			return t.giveUp(ctx, OutcomeSuspect)
-		}
-		if t.arrivals > 0 && !t.spendRetry() {
-			chosen.run.End(lavfleet.VerdictNone)
-			return t.giveUp(ctx, OutcomeBudget)
-		}
 		next := t.attempt(ctx, chosen)
+		t.recordKept()
 		if next != again {
 			return next
 		}
 		// A caller who doesn't read needs no further endpoint yet.
-		if t.spool.heldBack() && t.spool.awaitRoom(ctx) != nil {
+		if t.takeover.reserved == nil && t.spool.heldBack() && t.spool.awaitRoom(ctx) != nil {
 			return t.giveUp(ctx, OutcomeLeft)
 		}
 		if ctx.Err() != nil {
@@ -189,6 +180,34 @@
 	}
 }
 
+// nextPlacement returns where the next attempt is made, with the run counted there and the retry
+// taken. Without a placement, it returns the outcome of the call.
+func (t *task) nextPlacement(ctx context.Context) (*placement, Outcome) {
+	if c := t.takeReserved(); c != nil {
+		return c, 0
+	}
+	if err := t.relay.readiness.Await(ctx); err != nil {
+		return nil, OutcomeUnready
+	}
+	if t.blocked() {
+		return nil, OutcomeSuspect
+	}
+	chosen, outcome := t.choose(ctx)
+	if chosen == nil {
+		return nil, outcome
+	}
+	// The choice may have waited.
+	if t.blocked() {
+		chosen.run.End(lavfleet.VerdictNone)
+		return nil, OutcomeSuspect
+	}
+	if t.arrivals > 0 && !t.spendRetry() {
+		chosen.run.End(lavfleet.VerdictNone)
+		return nil, OutcomeBudget
+	}
+	return chosen, 0
+}
+
 // spendRetry takes a retry from the service's budget, or reports false if that is exhausted.
 func (t *task) spendRetry() bool {
 	share, ok := t.relay.fleet.SpendRetry(t.call.Service)
--- a/lavrelay/stream.go
+++ b/lavrelay/stream.go
@@ -35,9 +35,7 @@
 	t.countPartial()
 	progress := t.newProgress(ctx, c, response)
 	buffer := make([]byte, streamBufferBytes)
-	if err := progress.limitSilence(); err != nil {
-		return 0, err
-	}
+	response.RestartSilence()
 	for {
 		if err := progress.awaitCaller(); errors.Is(err, errCallerDisconnected) {
 			return OutcomeLeft, nil
@@ -73,9 +71,7 @@
 		return OutcomeLeft, nil
 	}
 	if t.events.Count() > before {
-		if err := p.recordEvent(); err != nil {
-			return again, err
-		}
+		p.recordEvent()
 	}
 	if invalid != nil {
 		return again, t.recordInvalid(p.placement, invalid)
--- a/lavrelay/trace.go
+++ b/lavrelay/trace.go
@@ -59,6 +59,8 @@
 	limit string
 	// retryShare is this host's share of the retry budget at the last retry, or when it was denied.
 	retryShare lavfleet.RetryShare
+	// kept is why the last silent run was not given up, empty if none was kept.
+	kept string
 }
 
 func (t *trace) recordAttempt(c *placement) {
@@ -182,6 +184,7 @@
 		Dur("Took", time.Since(t.call.Arrived)).
 		Dur("RetryAfter", t.retryAfter).
 		Str("Failure", t.trace.failure).
+		Str("Kept", t.trace.kept).
 		Str("Blocked", t.trace.blocked).
 		Str("Limit", t.trace.limit).
 		Str("LimitedBy", t.trace.describeLimit()).
