Take a head with a status or a header name that none can have for no answer

What callers saw: a success, or a status of 600 or more, that an endpoint hadn't given as one. Cause: each response with a status below 200 was skipped as informational, so that after a 000 or 099 its body, and after a 101 the bytes of another protocol, were read as the next response; statuses from 600 on and header names with spaces were forwarded. Evidence: TestFaultyAnswerIsNoSuccess, 24 answers on three routes, 16 of 72 cases failed before (099, 000, 101, 600, 999, and a space in a name). The other 56 held on the code as it was.

--- a/lavconn/exchange.go
+++ b/lavconn/exchange.go
@@ -128,8 +128,14 @@
 func (c *conn) readHead(method string) (*http.Response, error) {
 	for {
 		response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
-		if err != nil || response.StatusCode >= http.StatusOK {
-			return response, err
+		if err != nil {
+			return nil, err
+		}
+		if err := checkHead(response); err != nil {
+			return nil, err
+		}
+		if response.StatusCode >= http.StatusOK {
+			return response, nil
 		}
 	}
 }
