Pass on a refusal of a request that may run once only if the endpoint says it hasn't run

What callers saw: 408, 429 or 503 for a request that isn't idempotent, though its endpoint didn't state that it hadn't run it. Callers take these statuses for that promise and send the request again (REFUSED). Cause: the status of an answer that names the request was forwarded, whatever it promises. Why it works: only the endpoint's own statement shows that the request has not run; without it the answer is lost, which ends as 502, and promises nothing. Routes that may be repeated are as before.

--- a/lavrelay/attempt.go
+++ b/lavrelay/attempt.go
@@ -169,10 +169,16 @@
 	return again
 }
 
+// errUnstatedPromise means that callers would take a status for a promise that the endpoint doesn't make.
+var errUnstatedPromise = errors.New("refusal does not state that the request was not run")
+
 // forward forwards a response to the caller. An error means that the response is incomplete.
 func (t *task) forward(ctx context.Context, c *placement, response *lavconn.Response, head platform.Response) (Outcome, error) {
 	isStream := t.call.Route.Kind == lavconfig.KindStreaming
 	switch {
+	case head.UnstatedPromise && !t.call.Route.Repeatable():
+		response.Close(head.IdleTimeout)
+		return again, errors.Mark(errUnstatedPromise, lavconn.ErrResponseLost)
 	case !isStream || response.Status >= http.StatusMultipleChoices:
 		return t.forwardWhole(ctx, response, head)
 	case !head.Events:
