End the wait for an answer at bytes that hide it

What callers saw: 504 at their deadline, though another endpoint could have answered. Cause: on a kept connection a response to another request is read to its end, so that the right one may follow. The end of one without a length or chunks is that of the connection, and it swallows the right one, as does a head that breaks off inside a header's value and goes on with the right one's head. Why it works: such a response ends the wait as a lost answer, and the connection is closed.

--- a/lavconn/exchange.go
+++ b/lavconn/exchange.go
@@ -115,6 +115,10 @@
 			return c.newResponse(response), nil
 		}
 		fresh = false
+		if framingOf(response) == FramingClose {
+			// All that follows on the connection is its body.
+			break
+		}
 		c.received.limit(maxUnmatchedBytes)
 		if _, err := io.Copy(io.Discard, response.Body); err != nil {
 			return nil, errors.Mark(err, ErrResponseLost)
--- a/lavrelay/attempt.go
+++ b/lavrelay/attempt.go
@@ -102,17 +102,18 @@
 const endpointWriteTimeout = 5 * time.Second
 
 // matchesCall reports whether a response is the one to this call. Endpoints echo the request
-// ID. A response without an ID ends the wait for the right one only as the first on its connection.
+// ID. A response without an ID ends the wait for the right one only as the first on its connection, and
+// one of unclear identity ends it in any case.
 func (t *task) matchesCall(response *http.Response, fresh bool) bool {
-	id := platform.DecodeResponse(response.StatusCode, response.Header).ID
-	return id == t.call.ID || id == "" && fresh
+	head := platform.DecodeResponse(response.StatusCode, response.Header)
+	return head.Unclear || head.ID == t.call.ID || head.ID == "" && fresh
 }
 
 // checkIdentity returns an error for a response that says nothing about this call: one that
 // doesn't name it, or a success without the endpoint's stamp. The request may have run.
 func (t *task) checkIdentity(status int, head platform.Response) error {
 	switch {
-	case head.ID != t.call.ID:
+	case head.Unclear || head.ID != t.call.ID:
 		return errors.Mark(errors.Newf("response %d names no request", status), lavconn.ErrResponseLost)
 	case status < http.StatusMultipleChoices && !head.Stamped:
 		return errors.Mark(errors.Newf("response %d bears no stamp", status), lavconn.ErrResponseLost)
--- a/lavrelay/reserve.go
+++ b/lavrelay/reserve.go
@@ -132,7 +132,8 @@
 // namesNoRequest reports whether a response can belong to an order or a question, which have no request ID.
 // One that names a request is a late or repeated response to that.
 func namesNoRequest(response *http.Response, _ bool) bool {
-	return platform.DecodeResponse(response.StatusCode, response.Header).ID == ""
+	head := platform.DecodeResponse(response.StatusCode, response.Header)
+	return head.ID == "" && !head.Unclear
 }
 
 // renew renews the reservations until the context ends.
