Take an answer to an order or a report for one only by what it says

What operators would see: prompts sent with tickets that no endpoint had granted, and paces of endpoints taken from error pages or from another incarnation at the same address. Cause: any 200 was a granted reservation, its body was not read, and the repeated answer to an earlier order on a kept connection was one, too. A report was any body of any status that is JSON; without a pace it was stored as a fresh one of 0. Why it works: these answers name no request, so that only their content shows what they answer: JSON, read to its end, with the field that the pages promise (free_slots, pace). A first reservation goes on a new connection. A question for a report names the endpoint, as orders do, and a report that states another start is another's.

--- /dev/null
+++ b/lavrelay/controlanswer_test.go
@@ -0,0 +1,74 @@
+package lavrelay
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"lavenderrack.example/lavenderrack/lavassert"
+	"lavenderrack.example/lavenderrack/lavconfig"
+	"lavenderrack.example/lavenderrack/platform/standin"
+)
+
+// controlled returns a reservation, and the endpoint that it is at, which has the handler.
+func (b *fixture) controlled() (*reservationSet, reservation) {
+	snapshot, _ := b.fleet.Snapshot("s", func(lavconfig.Incarnation) bool { return false })
+	endpoint := snapshot.Endpoints[0]
+	endpoint.StartedAt = time.UnixMilli(standin.ReportedStart)
+	orders := &reservationSet{task: &task{relay: b.relay, call: b.call(lavconfig.KindSafe)}}
+	return orders, reservation{endpoint: endpoint, ticket: "t", tokens: 1}
+}
+
+// TestForeignAnswerGrantsNoReservation guards against an answer that is none to a reservation and counts as its
+// success.
+func TestForeignAnswerGrantsNoReservation(t *testing.T) {
+	assertReservation := func(t *testing.T, granted bool, handler standin.Handler) {
+		t.Helper()
+		synctest.Test(t, func(t *testing.T) {
+			b := newFixture(handler)
+			orders, at := b.controlled()
+			err := orders.reserveOne(context.Background(), at, true)
+			lavassert.Equal(t, "granted", err == nil, granted)
+			b.closePool()
+		})
+	}
+	t.Run("Reserved", func(t *testing.T) { assertReservation(t, true, standin.Reserved) })
+	for name, handler := range standin.NoReservations() {
+		t.Run(name, func(t *testing.T) { assertReservation(t, false, handler) })
+	}
+}
+
+// TestRepeatedAnswerGrantsNoReservation guards against the answer to an earlier order on a kept connection that
+// counts as the grant of a new reservation.
+func TestRepeatedAnswerGrantsNoReservation(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newFixture(standin.AgainOnKept(standin.Reserved))
+		orders, at := b.controlled()
+		lavassert.NoError(t, orders.reserveOne(context.Background(), at, true))
+		err := orders.reserveOne(context.Background(), at, true)
+		lavassert.ErrorIs(t, err, errNoKVSpace)
+		b.closePool()
+	})
+}
+
+// TestForeignAnswerIsNoReport guards against an answer that is no report of the endpoint, and whose pace counts.
+func TestForeignAnswerIsNoReport(t *testing.T) {
+	assertReport := func(t *testing.T, sound bool, handler standin.Handler) {
+		t.Helper()
+		synctest.Test(t, func(t *testing.T) {
+			b := newFixture(handler)
+			_, at := b.controlled()
+			report, err := b.relay.fetchReport(context.Background(), at.endpoint)
+			lavassert.Equal(t, "taken for a report", err == nil, sound)
+			if sound {
+				lavassert.Equal(t, "pace", report.Pace, standin.ReportedPace)
+			}
+			b.closePool()
+		})
+	}
+	t.Run("Report", func(t *testing.T) { assertReport(t, true, standin.Report) })
+	for name, handler := range standin.NoReports() {
+		t.Run(name, func(t *testing.T) { assertReport(t, false, handler) })
+	}
+}
--- a/lavrelay/reserve.go
+++ b/lavrelay/reserve.go
@@ -23,7 +23,6 @@
 	reservationLease = 3500 * time.Millisecond
 	// renewInterval is short enough that a reservation survives two lost renewals.
 	renewInterval = time.Second
-	orderTimeout  = 500 * time.Millisecond
 )
 
 var errNoKVSpace = errors.New("endpoint has no KV cache space to reserve")
@@ -65,7 +64,7 @@
 	if len(h.reservations) == 0 {
 		return h, nil
 	}
-	if err := h.reserveAll(ctx); err != nil {
+	if err := h.reserveAll(ctx, true); err != nil {
 		t.trace.recordError(err)
 		h.release()
 		return nil, err
@@ -76,30 +75,32 @@
 	return h, nil
 }
 
-// reserveAll reserves or renews at all helpers in parallel and returns the first error.
-func (h *reservationSet) reserveAll(ctx context.Context) error {
+// reserveAll reserves for the first time, or renews, at all helpers in parallel and returns the first
+// error.
+func (h *reservationSet) reserveAll(ctx context.Context, first bool) error {
 	failures := make(chan error, len(h.reservations))
 	for _, p := range h.reservations {
-		go func() { failures <- h.reserveOne(ctx, p) }()
+		go func() { failures <- h.reserveOne(ctx, p, first) }()
 	}
-	var first error
+	var failure error
 	for range h.reservations {
-		if err := <-failures; err != nil && first == nil {
-			first = err
+		if err := <-failures; err != nil && failure == nil {
+			failure = err
 		}
 	}
-	return first
+	return failure
 }
 
-// reserveOne reserves or renews at one helper.
-func (h *reservationSet) reserveOne(ctx context.Context, p reservation) error {
+// reserveOne reserves for the first time, or renews, at one helper.
+func (h *reservationSet) reserveOne(ctx context.Context, p reservation, first bool) error {
 	body, err := platform.EncodeReserve(p.ticket, p.tokens, time.Duration(h.task.relay.reservationLease.Load()))
 	if err != nil {
 		return lavstep.Wrap(err, lavstep.GangReserve, p.endpoint.ID)
 	}
-	status, err := h.sendOrder(ctx, p.endpoint, body)
-	if err == nil && status != http.StatusOK {
-		err = errNoKVSpace
+	// On a connection that is kept, an answer may be a late or repeated one to an earlier order.
+	answer, err := h.task.relay.askEndpoint(ctx, p.endpoint, orderRequest(p.endpoint, body, first))
+	if err == nil {
+		err = checkReserved(answer)
 	}
 	if err != nil {
 		h.task.relay.fleet.BackOff(p.endpoint.Incarnation())
@@ -107,39 +108,39 @@
 	return lavstep.Wrap(err, lavstep.GangReserve, p.endpoint.ID)
 }
 
-// sendOrder posts a control order, such as a reservation or its release, to an endpoint.
-// It returns the HTTP status of the response.
-func (h *reservationSet) sendOrder(ctx context.Context, e lavconfig.Endpoint, body []byte) (int, error) {
-	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
-	defer cancel()
-	request := lavconn.Request{
-		Method:   http.MethodPost,
-		Target:   platform.PathOrder,
-		HostName: e.Address.String(),
-		Header:   platform.OrderHeader(e.ID),
-		Body:     body,
+// checkReserved returns an error unless an answer grants a reservation.
+func checkReserved(a controlAnswer) error {
+	if a.status != http.StatusOK {
+		return errNoKVSpace
 	}
-	response, err := h.task.relay.pool.Do(ctx, e.Address, request, namesNoRequest)
-	if err != nil {
-		return 0, err
+	if !a.isJSON {
+		return errors.Mark(errNoControlAnswer, lavconn.ErrResponseLost)
+	}
+	return errors.Mark(platform.CheckReserved(a.body), lavconn.ErrResponseLost)
+}
+
+// orderRequest returns the request for a control order, such as a reservation or its release.
+func orderRequest(e lavconfig.Endpoint, body []byte, onNewConnection bool) lavconn.Request {
+	return lavconn.Request{
+		Method:        http.MethodPost,
+		Target:        platform.PathOrder,
+		HostName:      e.Address.String(),
+		Header:        platform.OrderHeader(e.ID),
+		Body:          body,
+		NewConnection: onNewConnection,
 	}
-	head := platform.DecodeResponse(response.Status, response.Header)
-	h.task.relay.recordStatements(e, head)
-	response.Discard(head.IdleTimeout)
-	return response.Status, nil
 }
 
-// namesNoRequest reports whether a response can belong to an order or a question, which have no request ID.
-// One that names a request is a late or repeated response to that.
-func namesNoRequest(response *http.Response, _ bool) bool {
-	head := platform.DecodeResponse(response.StatusCode, response.Header)
-	return head.ID == "" && !head.Unclear
+// sendOrder posts a control order to an endpoint. It returns the HTTP status of the response.
+func (h *reservationSet) sendOrder(ctx context.Context, e lavconfig.Endpoint, body []byte) (int, error) {
+	answer, err := h.task.relay.askEndpoint(ctx, e, orderRequest(e, body, false))
+	return answer.status, err
 }
 
 // renew renews the reservations until the context ends.
 func (h *reservationSet) renew(ctx context.Context) {
 	_ = lavpause.Every(ctx, renewInterval, func() {
-		if err := h.reserveAll(ctx); err != nil && ctx.Err() == nil {
+		if err := h.reserveAll(ctx, false); err != nil && ctx.Err() == nil {
 			h.task.relay.logger.Warn().Str("Request", h.task.call.ID).Err(err).Msg("could not renew reservation")
 		}
 	})
--- a/lavrelay/slowdown.go
+++ b/lavrelay/slowdown.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"time"
 
@@ -10,6 +9,8 @@
 	"lavenderrack.example/lavenderrack/lavconn"
 	"lavenderrack.example/lavenderrack/lavstep"
 	"lavenderrack.example/lavenderrack/platform"
+
+	"github.com/cockroachdb/errors"
 )
 
 const (
@@ -18,8 +19,6 @@
 	overdueFactor = 1.5
 	overdueSlack  = 200 * time.Millisecond
 	reportTimeout = 400 * time.Millisecond
-	// maxReportBytes bounds the size of a report.
-	maxReportBytes = 64 << 10
 )
 
 // watchFirstEvent queries all endpoints of a placement for their slowdown if the first
@@ -58,26 +57,28 @@
 	}
 }
 
+// fetchReport asks an endpoint for its report. The report of another incarnation at the address is none.
 func (r *Relay) fetchReport(ctx context.Context, e lavconfig.Endpoint) (platform.Report, error) {
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
-	request := lavconn.Request{
+	answer, err := r.askEndpoint(ctx, e, lavconn.Request{
 		Method:   http.MethodGet,
 		Target:   platform.PathReport,
 		HostName: e.Address.String(),
-		Header:   http.Header{},
-	}
-	response, err := r.pool.Do(ctx, e.Address, request, namesNoRequest)
-	if err != nil {
-		return platform.Report{}, err
-	}
-	head := platform.DecodeResponse(response.Status, response.Header)
-	defer func() { response.Close(head.IdleTimeout) }()
-	r.recordStatements(e, head)
-	body, err := io.ReadAll(io.LimitReader(response, maxReportBytes))
+		Header:   platform.ReportHeader(e.ID),
+	})
 	if err != nil {
 		return platform.Report{}, lavstep.Wrap(err, lavstep.EngineLoad, e.ID)
 	}
-	report, err := platform.DecodeReport(body)
+	if answer.status != http.StatusOK || !answer.isJSON {
+		return platform.Report{}, lavstep.Wrap(errNoControlAnswer, lavstep.EngineLoad, e.ID)
+	}
+	report, err := platform.DecodeReport(answer.body)
+	if err == nil && isOtherStart(report.StartedAt, e.StartedAt) {
+		err = errors.New("report is that of another incarnation")
+	}
 	return report, lavstep.Wrap(err, lavstep.EngineLoad, e.ID)
 }
+
+// isOtherStart reports whether two times of a start are known and differ.
+func isOtherStart(a, b time.Time) bool { return !a.IsZero() && !b.IsZero() && !a.Equal(b) }
