Take an event or a reply of an engine for one only if it says so

What callers saw: text twice, text after a gap, or the rest of another run, in the answer to a prompt at serve; what operators would see: an order, a load or a checkpoint from an error page. Cause: a chunk without an offset or an event ID was taken to follow the last one, since it came next, and one without choices for an empty frame. A stream without an incarnation matched chunks without one, and a resumed stream wasn't compared with the incarnation that was asked. Each 2xx was a reply, and a pin read its report from any status. Why it works: a frame states its place in the answer, a stream its incarnation, and each reply has the field of its call. What lacks it is ErrBroken, after which the relay resumes or the request's outcome is unknown.

--- a/lavengine/chunk.go
+++ b/lavengine/chunk.go
@@ -5,6 +5,8 @@
 	"strconv"
 
 	"lavenderrack.example/lavenderrack/lavrequest"
+
+	"github.com/cockroachdb/errors"
 )
 
 // Chunk is one event of a completion stream in the OpenAI format. Its event ID
@@ -80,18 +82,19 @@
 	return buf, nil
 }
 
-// toFrame converts a chunk with the event ID end to a frame. A chunk without an
-// offset starts at the offset next.
-func (c *Chunk) toFrame(next, end int) Frame {
-	if c.Offset != nil {
-		next = *c.Offset
+// errNoFrame means that an event is no frame of an answer.
+var errNoFrame = errors.New("event is no frame of an answer")
+
+// toFrame converts a chunk with the event ID end to a frame. Without an offset and an ID nothing shows
+// where in the answer it belongs.
+func (c *Chunk) toFrame(end int, hasEnd bool) (Frame, error) {
+	if !hasEnd || c.Offset == nil || len(c.Choices) != 1 {
+		return Frame{}, errNoFrame
 	}
-	f := Frame{ID: lavrequest.ID(c.ID), Incarnation: c.Incarnation, Offset: next, Tokens: end - next}
-	if len(c.Choices) > 0 {
-		f.Text = c.Choices[0].Text
-		if reason := c.Choices[0].FinishReason; reason != nil {
-			f.Final, f.Finish = true, Finish(*reason)
-		}
+	f := Frame{ID: lavrequest.ID(c.ID), Incarnation: c.Incarnation, Offset: *c.Offset, Tokens: end - *c.Offset}
+	f.Text = c.Choices[0].Text
+	if reason := c.Choices[0].FinishReason; reason != nil {
+		f.Final, f.Finish = true, Finish(*reason)
 	}
-	return f
+	return f, nil
 }
--- a/lavengine/events.go
+++ b/lavengine/events.go
@@ -62,15 +62,20 @@
 func (e *eventStream) Dropped() int { return e.dropped }
 
 // Next implements Stream. It ignores frames of another request or incarnation
-// and frames that were received before. If frames are missing, it returns
-// ErrBroken.
+// and frames that were received before. If frames are missing, or an event is no
+// frame, it returns ErrBroken.
 func (e *eventStream) Next() (Frame, error) {
 	if e.final {
 		return Frame{}, io.EOF
 	}
-	end, failed := e.nextOffset, false
+	end, hasEnd, failed := 0, false, false
 	for e.lines.Scan() {
-		name, value, _ := strings.Cut(e.lines.Text(), ":")
+		line := e.lines.Text()
+		if line == "" {
+			hasEnd = false
+			continue
+		}
+		name, value, _ := strings.Cut(line, ":")
 		value = strings.TrimPrefix(value, " ")
 		switch name {
 		case "event":
@@ -80,7 +85,7 @@
 			if err != nil {
 				return Frame{}, e.streamError(err)
 			}
-			end = n
+			end, hasEnd = n, true
 		case "data":
 			if value == StreamEnd {
 				// The marker doesn't identify the stream that has ended. Only a
@@ -90,11 +95,11 @@
 			if failed {
 				return Frame{}, e.streamError(errors.Newf("engine sent an error: %.200s", value))
 			}
-			f, ok, err := e.parseFrame(value, end)
+			f, ok, err := e.parseFrame(value, end, hasEnd)
 			if ok || err != nil {
 				return f, err
 			}
-			end = e.nextOffset
+			hasEnd = false
 		}
 	}
 	return Frame{}, e.streamError(errors.CombineErrors(e.lines.Err(), io.ErrUnexpectedEOF))
@@ -102,12 +107,15 @@
 
 // parseFrame decodes a frame and reports whether it is the next one of this
 // stream.
-func (e *eventStream) parseFrame(data string, end int) (Frame, bool, error) {
+func (e *eventStream) parseFrame(data string, end int, hasEnd bool) (Frame, bool, error) {
 	var c Chunk
 	if err := json.Unmarshal([]byte(data), &c); err != nil {
 		return Frame{}, false, e.streamError(err)
 	}
-	f := c.toFrame(e.nextOffset, end)
+	f, err := c.toFrame(end, hasEnd)
+	if err != nil {
+		return Frame{}, false, e.streamError(err)
+	}
 	if f.ID != e.id || f.Incarnation != e.incarnation || f.Tokens < 0 || f.Offset < e.nextOffset {
 		e.dropped++
 		return Frame{}, false, nil
--- a/lavengine/http.go
+++ b/lavengine/http.go
@@ -50,7 +50,7 @@
 func (h *HTTP) Submit(ctx context.Context, s Submission) (Stream, error) {
 	s.Stream = true
 	wait := StreamIdleTimeout + time.Duration(len(s.Prompt)/minUploadRate)*time.Second
-	return h.openStream(ctx, lavstep.EngineSubmit, wait, s.ID, s.Offset, func(ctx context.Context) (*http.Response, error) {
+	return h.openStream(ctx, lavstep.EngineSubmit, wait, s.ID, anyIncarnation, s.Offset, func(ctx context.Context) (*http.Response, error) {
 		return h.send(ctx, lavstep.EngineSubmit, http.MethodPost, "/v1/completions", s, nil)
 	})
 }
@@ -61,7 +61,7 @@
 		HeaderIncarnation: {string(incarnation)},
 		HeaderLastEventID: {strconv.Itoa(offset)},
 	}
-	return h.openStream(ctx, lavstep.EngineResume, StreamIdleTimeout, id, offset, func(ctx context.Context) (*http.Response, error) {
+	return h.openStream(ctx, lavstep.EngineResume, StreamIdleTimeout, id, incarnation, offset, func(ctx context.Context) (*http.Response, error) {
 		return h.send(ctx, lavstep.EngineResume, http.MethodGet, streamPath(id), nil, header)
 	})
 }
@@ -79,7 +79,7 @@
 func (h *HTTP) Load(ctx context.Context) (LoadReport, error) {
 	var report LoadReport
 	err := h.call(ctx, lavstep.EngineLoad, http.MethodGet, "/load", nil, &report)
-	return report, err
+	return report, h.requireField(err, lavstep.EngineLoad, report.Incarnation != "")
 }
 
 // Events implements Engine.
@@ -118,28 +118,28 @@
 	var created CheckpointBody
 	body := PrefillBody{Reservation: reservation, Checkpoint: checkpoint, Segment: segment}
 	err := h.call(ctx, lavstep.GangSegment, http.MethodPost, "/prefill", body, &created)
-	return created.Checkpoint, err
+	return created.Checkpoint, h.requireField(err, lavstep.GangSegment, created.Checkpoint != "")
 }
 
 // Export implements Engine.
 func (h *HTTP) Export(ctx context.Context, checkpoint string) ([]byte, error) {
 	var exported CheckpointBody
 	err := h.call(ctx, lavstep.EngineExport, http.MethodGet, "/checkpoints/"+url.PathEscape(checkpoint), nil, &exported)
-	return exported.State, err
+	return exported.State, h.requireField(err, lavstep.EngineExport, exported.State != nil)
 }
 
 // Import implements Engine.
 func (h *HTTP) Import(ctx context.Context, state []byte) (string, error) {
 	var created CheckpointBody
 	err := h.call(ctx, lavstep.EngineImport, http.MethodPost, "/checkpoints", CheckpointBody{State: state}, &created)
-	return created.Checkpoint, err
+	return created.Checkpoint, h.requireField(err, lavstep.EngineImport, created.Checkpoint != "")
 }
 
 // Order implements Engine.
 func (h *HTTP) Order(ctx context.Context, o Order) (OrderReport, error) {
 	var report OrderReport
 	err := h.call(ctx, lavstep.EngineOrder, http.MethodPut, "/order", o, &report)
-	return report, err
+	return report, h.requireField(err, lavstep.EngineOrder, report.Incarnation != "")
 }
 
 func (h *HTTP) call(ctx context.Context, step lavstep.Step, method, path string, in, out any) error {
@@ -148,10 +148,33 @@
 		return err
 	}
 	defer func() { _ = response.Body.Close() }()
-	if out == nil {
+	text, err := io.ReadAll(io.LimitReader(response.Body, maxReplyBytes))
+	if err == nil {
+		err = decodeReply(text, out)
+	}
+	return lavstep.Wrap(errors.Mark(err, ErrBroken), step, h.baseURL)
+}
+
+// decodeReply decodes the body of a success. A call without a result, whose out is nil, has an empty body or
+// any JSON object.
+func decodeReply(text []byte, out any) error {
+	if out != nil {
+		return json.Unmarshal(text, out)
+	}
+	if len(bytes.TrimSpace(text)) == 0 {
 		return nil
 	}
-	return lavstep.Wrap(json.NewDecoder(io.LimitReader(response.Body, maxReplyBytes)).Decode(out), step, h.baseURL)
+	var object map[string]any
+	return json.Unmarshal(text, &object)
+}
+
+// requireField returns the error of a call, or ErrBroken if its result lacks the field that each reply to such a
+// call has.
+func (h *HTTP) requireField(err error, step lavstep.Step, present bool) error {
+	if err != nil || present {
+		return err
+	}
+	return lavstep.Wrap(errors.Mark(errors.New("success is no reply to this call"), ErrBroken), step, h.baseURL)
 }
 
 // send makes one call and checks its status. The request body can be read only
--- a/lavengine/pin.go
+++ b/lavengine/pin.go
@@ -170,6 +170,9 @@
 		return report, err
 	}
 	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return report, errors.Newf("load report has the status %d", response.StatusCode)
+	}
 	if err := json.NewDecoder(io.LimitReader(response.Body, maxReplyBytes)).Decode(&report); err != nil {
 		return report, err
 	}
--- a/lavengine/silence.go
+++ b/lavengine/silence.go
@@ -33,10 +33,23 @@
 // ErrSilent means that no data arrived on a connection within the timeout.
 var ErrSilent = errors.New("no data arrived on the connection within the timeout")
 
+// anyIncarnation is the incarnation of a stream that any one may answer.
+const anyIncarnation Incarnation = ""
+
+// checkIncarnation returns ErrBroken for a success that doesn't name the incarnation of an engine, or
+// another one than the one that was asked.
+func checkIncarnation(response *http.Response, want Incarnation) error {
+	got := Incarnation(response.Header.Get(HeaderIncarnation))
+	if got == "" || want != anyIncarnation && got != want {
+		return errors.Mark(errors.Newf("success names the incarnation %q", got), ErrBroken)
+	}
+	return nil
+}
+
 // openStream opens a stream with open and cancels it if no data arrives for too
 // long. The time limit is wait until the response begins, and StreamIdleTimeout
 // after that.
-func (h *HTTP) openStream(ctx context.Context, step lavstep.Step, wait time.Duration, id lavrequest.ID, offset int, open func(ctx context.Context) (*http.Response, error)) (Stream, error) {
+func (h *HTTP) openStream(ctx context.Context, step lavstep.Step, wait time.Duration, id lavrequest.ID, incarnation Incarnation, offset int, open func(ctx context.Context) (*http.Response, error)) (Stream, error) {
 	wait = limitToDeadline(ctx, wait)
 	ctx, cancel := context.WithCancelCause(ctx)
 	timer := time.AfterFunc(wait, func() { cancel(ErrSilent) })
@@ -47,6 +60,12 @@
 		cancel(nil)
 		return nil, err
 	}
+	if err := checkIncarnation(response, incarnation); err != nil {
+		timer.Stop()
+		cancel(nil)
+		_ = response.Body.Close()
+		return nil, lavstep.Wrap(err, step, h.baseURL)
+	}
 	timer.Reset(StreamIdleTimeout)
 	response.Body = &idleTimeoutBody{body: response.Body, timer: timer, cancel: cancel, beforeRead: func() error {
 		return lavstep.Failpoint(ctx, lavstep.EngineStream, h.baseURL)
