Take an event for a part of an answer in the client only if it follows the last one

What callers of lavclient saw: text twice, or with a piece missing, in an answer that ends as complete, and an answer from a success that names no request. Cause: an event only had to end no earlier than the last one. Entry hosts didn't state where it begins. Without the request's ID in the head, the IDs of events were not compared. Why it works: events of completions state their offset, which must be what the caller has; a success without a request is refused. The stream ends with an error then, and isn't resumed.

--- a/lavclient/stream.go
+++ b/lavclient/stream.go
@@ -94,8 +94,11 @@
 		s.body = response.Body
 		return nil, parseFailure(response)
 	}
-	s.requestID = response.Header.Get(lavrequest.HeaderRequest)
 	s.attach(response)
+	if s.requestID = response.Header.Get(lavrequest.HeaderRequest); s.requestID == "" {
+		s.Close()
+		return nil, errors.Wrap(errIncomplete, "success that names no request")
+	}
 	return s, nil
 }
 
@@ -173,10 +176,10 @@
 		return Chunk{}, errors.Mark(err, errIncomplete)
 	}
 	end, err := strconv.Atoi(e.id)
-	if err != nil || end < s.tokens || s.final || len(chunk.Choices) != 1 {
+	if err != nil || s.final || len(chunk.Choices) != 1 || !s.follows(&chunk, end) {
 		return Chunk{}, errors.Wrapf(errIncomplete, "event %q after %d tokens", e.id, s.tokens)
 	}
-	if s.requestID != "" && chunk.ID != s.requestID {
+	if chunk.ID != s.requestID {
 		return Chunk{}, errors.Wrapf(errIncomplete, "event of request %s in the answer to %s", chunk.ID, s.requestID)
 	}
 	s.tokens = end
@@ -184,6 +187,15 @@
 	return Chunk{Text: chunk.Choices[0].Text, Tokens: end, Final: s.final}, nil
 }
 
+// follows reports whether a chunk that ends at a number of tokens continues the answer. Entry hosts of
+// earlier versions don't state where a chunk begins, so that only a repeated one can be told.
+func (s *Stream) follows(chunk *lavengine.Chunk, end int) bool {
+	if chunk.Offset != nil {
+		return *chunk.Offset == s.tokens && end >= s.tokens
+	}
+	return end > s.tokens || end == s.tokens && chunk.Choices[0].Text == ""
+}
+
 // resume continues a broken stream at another entry host. It makes up to
 // maxResumes attempts over the lifetime of the stream. If a host refuses with a
 // Retry-After header, the next attempt waits for that time; without the header, resume
--- a/lavfront/format.go
+++ b/lavfront/format.go
@@ -54,21 +54,29 @@
 	return data
 }
 
+// completionChunk encodes an event, which states its place in the answer.
 func completionChunk(p *prompt, f lavengine.Frame) []byte {
+	chunk := newCompletion(p, f)
+	chunk.Offset = &f.Offset
+	return mustMarshal(chunk)
+}
+
+// newCompletion returns what events and whole responses have in common.
+func newCompletion(p *prompt, f lavengine.Frame) lavengine.Chunk {
 	usage := newUsage(p, f.Offset+f.Tokens)
-	return mustMarshal(lavengine.Chunk{
+	return lavengine.Chunk{
 		ID:      string(p.request.ID),
 		Object:  "text_completion",
 		Created: p.request.Arrived.Unix(),
 		Model:   p.request.Model,
 		Choices: []lavengine.Choice{{Text: f.Text, FinishReason: f.FinishReason()}},
 		Usage:   &usage,
-	})
+	}
 }
 
 func completionResponse(p *prompt, text string, last lavengine.Frame) []byte {
 	last.Text = text
-	return completionChunk(p, last)
+	return mustMarshal(newCompletion(p, last))
 }
 
 // chatBody is a chat response or one chunk of a streamed chat response. In a chunk,
