Take a reply of the service's store for one only if it bears the store's index and the keys asked for

What operators would see: a serve host that knows no endpoints after a 404 page of something else, or that holds a lease without a name, under which its entries never end. Cause: a 404 was an empty store whoever sent it, a list any keys, and a lease whatever ID was there. Why it works: the store states its index in each read, also in a 404; keys must be below the path that was asked for; a grant has an ID.

--- a/lavstore/http.go
+++ b/lavstore/http.go
@@ -26,6 +26,12 @@
 // indexHeader is the response header that contains the revision of the store.
 const indexHeader = "X-Consul-Index"
 
+// keysPath begins the paths of entries.
+const keysPath = "/v1/kv/"
+
+// errForeignReply means that a reply is not the store's to this call.
+var errForeignReply = errors.New("reply is none of the store to this call")
+
 // NewHTTP returns a store that is reached at the given base URLs, tried in
 // order.
 func NewHTTP(client *http.Client, baseURLs ...string) *HTTP {
@@ -50,7 +56,7 @@
 
 // Get implements Store.
 func (h *HTTP) Get(ctx context.Context, key string) (Entry, error) {
-	entries, _, err := h.read(ctx, lavstep.StoreRead, "/v1/kv/"+escapePath(key), nil)
+	entries, _, err := h.read(ctx, lavstep.StoreRead, keysPath+escapePath(key), nil)
 	if err != nil {
 		return Entry{}, err
 	}
@@ -62,7 +68,7 @@
 
 // List implements Store.
 func (h *HTTP) List(ctx context.Context, prefix string) ([]Entry, Revision, error) {
-	return h.read(ctx, lavstep.StoreRead, "/v1/kv/"+escapePath(prefix), url.Values{"recurse": {"true"}})
+	return h.read(ctx, lavstep.StoreRead, keysPath+escapePath(prefix), url.Values{"recurse": {"true"}})
 }
 
 // Watch implements Store.
@@ -72,7 +78,7 @@
 		"index":   {strconv.FormatUint(uint64(after), 10)},
 		"wait":    {fmt.Sprintf("%dms", wait.Milliseconds())},
 	}
-	return h.read(ctx, lavstep.StoreWatch, "/v1/kv/"+escapePath(prefix), query)
+	return h.read(ctx, lavstep.StoreWatch, keysPath+escapePath(prefix), query)
 }
 
 // CompareAndSwap implements Store.
@@ -84,7 +90,7 @@
 	if lease != "" {
 		query.Set("acquire", string(lease))
 	}
-	body, header, err := h.write(ctx, http.MethodPut, "/v1/kv/"+escapePath(key), query, value)
+	body, header, err := h.write(ctx, http.MethodPut, keysPath+escapePath(key), query, value)
 	if errors.Is(err, ErrNotFound) {
 		err = ErrLeaseGone
 	}
@@ -114,7 +120,7 @@
 // Delete implements Store.
 func (h *HTTP) Delete(ctx context.Context, key string, expected Revision) error {
 	query := url.Values{"cas": {strconv.FormatUint(uint64(expected), 10)}}
-	body, _, err := h.write(ctx, http.MethodDelete, "/v1/kv/"+escapePath(key), query, nil)
+	body, _, err := h.write(ctx, http.MethodDelete, keysPath+escapePath(key), query, nil)
 	if err != nil {
 		return lavstep.Wrap(err, lavstep.StoreWrite, key)
 	}
@@ -148,6 +154,9 @@
 	if err := json.Unmarshal(body, &created); err != nil {
 		return "", lavstep.Wrap(errors.Mark(err, ErrOutcomeUnknown), lavstep.StoreLease, "")
 	}
+	if created.ID == "" {
+		return "", lavstep.Wrap(errors.Mark(errForeignReply, ErrOutcomeUnknown), lavstep.StoreLease, "")
+	}
 	return created.ID, nil
 }
 
@@ -171,18 +180,25 @@
 		return nil, 0, err
 	}
 	body, header, err := h.tryBaseURLs(ctx, http.MethodGet, path, query, nil, false)
-	if errors.Is(err, ErrNotFound) {
-		return nil, revisionFrom(header), nil
+	if err != nil && !errors.Is(err, ErrNotFound) {
+		return nil, 0, lavstep.Wrap(err, step, path)
+	}
+	if _, err := strconv.ParseUint(header.Get(indexHeader), 10, 64); err != nil {
+		// Without it, a page that says that nothing is there would be an empty store.
+		return nil, 0, lavstep.Wrap(errors.Mark(errForeignReply, ErrUnavailable), step, path)
 	}
 	if err != nil {
-		return nil, 0, lavstep.Wrap(err, step, path)
+		return nil, revisionFrom(header), nil
 	}
 	var pairs []kvPair
 	if err := json.Unmarshal(body, &pairs); err != nil {
-		return nil, 0, lavstep.Wrap(err, step, path)
+		return nil, 0, lavstep.Wrap(errors.Mark(err, ErrUnavailable), step, path)
 	}
 	entries := make([]Entry, 0, len(pairs))
 	for _, p := range pairs {
+		if !strings.HasPrefix(keysPath+escapePath(p.Key), path) {
+			return nil, 0, lavstep.Wrap(errors.Mark(errForeignReply, ErrUnavailable), step, path)
+		}
 		entries = append(entries, Entry{Key: p.Key, Value: p.Value, Revision: p.ModifyIndex, Lease: p.Session})
 	}
 	return entries, revisionFrom(header), nil
