Deliver a peer's reply only to a call of its topic

No caller is known to have seen this. A reply with the number of a call that waits counted as its reply, whatever it replies to; only the decoding of its body could tell, and bodies of several topics decode as each other's. TestReplyToAnotherCallIsDropped failed before in 1 of 4 cases (OtherTopic); a reply of no call or another call was dropped before, too. The call keeps its topic; the reply of another one is dropped, and the call ends at its timeout.

--- a/lavmesh/link.go
+++ b/lavmesh/link.go
@@ -78,7 +78,7 @@
 	closeOnce   sync.Once
 
 	mu             sync.Mutex
-	pendingCalls   map[uint64]chan message
+	pendingCalls   map[uint64]pendingCall
 	lastCallNumber uint64
 	// lastCallAt is the time of the last outgoing call. lastReceivedAt is the
 	// time of the last received message.
@@ -91,6 +91,12 @@
 	lastReplacedAt time.Time
 }
 
+// pendingCall is a call that waits for its reply.
+type pendingCall struct {
+	topic Topic
+	reply chan message
+}
+
 // handshake holds what both ends know about a link when it opens.
 type handshake struct {
 	peer    string
@@ -116,7 +122,7 @@
 		answerSlots:    make(chan struct{}, maxConcurrentCalls),
 		sendQueue:      make(chan message, sendQueueLength),
 		done:           make(chan struct{}),
-		pendingCalls:   make(map[uint64]chan message),
+		pendingCalls:   make(map[uint64]pendingCall),
 		lastCallAt:     now,
 		lastReceivedAt: now,
 		lastReplacedAt: now,
@@ -233,7 +239,7 @@
 	l.lastCallAt = now
 	l.lastCallNumber++
 	m.Call = l.lastCallNumber
-	l.pendingCalls[m.Call] = reply
+	l.pendingCalls[m.Call] = pendingCall{topic: m.Topic, reply: reply}
 }
 
 func (l *link) unregisterCall(call uint64) {
@@ -243,16 +249,16 @@
 }
 
 // deliverReply passes a reply to the call that waits for it. Replies to calls
-// that have ended are dropped.
+// that have ended are dropped, and so are those of another topic.
 func (l *link) deliverReply(m message) {
 	l.mu.Lock()
-	replies := l.pendingCalls[m.Call]
+	call, pending := l.pendingCalls[m.Call]
 	l.mu.Unlock()
-	if replies == nil {
+	if !pending || call.topic != m.Topic {
 		return
 	}
 	select {
-	case replies <- m:
+	case call.reply <- m:
 	default:
 		// A duplicate reply to the same call is dropped.
 	}
