Show that an answer to an order or a question that breaks off is none

TestControlAnswerThatBreaksOffIsNone cuts the answers to a reservation and to a question for a report after each byte; none of the parts counts.

--- a/lavrelay/controlanswer_test.go
+++ b/lavrelay/controlanswer_test.go
@@ -72,3 +72,32 @@
 		t.Run(name, func(t *testing.T) { assertReport(t, false, handler) })
 	}
 }
+
+// TestControlAnswerThatBreaksOffIsNone guards against an answer to an order or a question that breaks off at any byte
+// and counts.
+func TestControlAnswerThatBreaksOffIsNone(t *testing.T) {
+	count := func(handler standin.Handler, ask func(b *fixture) error) (taken int) {
+		for length := range standin.ControlBytes {
+			synctest.Test(t, func(_ *testing.T) {
+				b := newFixture(standin.CutControl(handler, length))
+				if ask(b) == nil {
+					taken++
+				}
+				b.closePool()
+			})
+		}
+		return taken
+	}
+	reserved := func(b *fixture) error {
+		orders, at := b.controlled()
+		return orders.reserveOne(context.Background(), at, true)
+	}
+	reported := func(b *fixture) error {
+		_, at := b.controlled()
+		_, err := b.relay.fetchReport(context.Background(), at.endpoint)
+		return err
+	}
+	// Only a cut at or after the end leaves the answer whole.
+	lavassert.Equal(t, "reservations", count(standin.Reserved, reserved), standin.ControlBytes-standin.WrittenBy(standin.Reserved))
+	lavassert.Equal(t, "reports", count(standin.Report, reported), standin.ControlBytes-standin.WrittenBy(standin.Report))
+}
