--- a/lavconn/exchange.go
+++ b/lavconn/exchange.go
@@ -121,6 +121,10 @@
 			return c.newResponse(response), nil
 		}
 		fresh = false
+		if framingOf(response) == FramingClose {
+			// All that follows on the connection is its body.
+			break
+		}
 		c.received.limit(maxUnmatchedBytes)
 		if _, err := io.Copy(io.Discard, response.Body); err != nil {
 			return nil, errors.Mark(err, ErrResponseLost)
@@ -134,8 +138,14 @@
 func (c *conn) readHead(method string) (*http.Response, error) {
 	for {
 		response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
-		if err != nil || response.StatusCode >= http.StatusOK {
-			return response, err
+		if err != nil {
+			return nil, err
+		}
+		if err := checkHead(response); err != nil {
+			return nil, err
+		}
+		if response.StatusCode >= http.StatusOK {
+			return response, nil
 		}
 	}
 }
--- a/lavrelay/attempt.go
+++ b/lavrelay/attempt.go
@@ -104,17 +104,18 @@
 const endpointWriteTimeout = 5 * time.Second
 
 // matchesCall reports whether a response is the one to this call. Endpoints echo the request
-// ID. A response without an ID ends the wait for the right one only as the first on its connection.
+// ID. A response without an ID ends the wait for the right one only as the first on its connection, and
+// one of unclear identity ends it in any case.
 func (t *task) matchesCall(response *http.Response, fresh bool) bool {
-	id := platform.DecodeResponse(response.StatusCode, response.Header).ID
-	return id == t.call.ID || id == "" && fresh
+	head := platform.DecodeResponse(response.StatusCode, response.Header)
+	return head.Unclear || head.ID == t.call.ID || head.ID == "" && fresh
 }
 
 // checkIdentity returns an error for a response that says nothing about this call: one that
 // doesn't name it, or a success without the endpoint's stamp. The request may have run.
 func (t *task) checkIdentity(status int, head platform.Response) error {
 	switch {
-	case head.ID != t.call.ID:
+	case head.Unclear || head.ID != t.call.ID:
 		return errors.Mark(errors.Newf("response %d names no request", status), lavconn.ErrResponseLost)
 	case status < http.StatusMultipleChoices && !head.Stamped:
 		return errors.Mark(errors.Newf("response %d bears no stamp", status), lavconn.ErrResponseLost)
@@ -171,10 +172,16 @@
 	return again
 }
 
+// errUnstatedPromise means that callers would take a status for a promise that the endpoint doesn't make.
+var errUnstatedPromise = errors.New("refusal does not state that the request was not run")
+
 // forward forwards a response to the caller. An error means that the response is incomplete.
 func (t *task) forward(ctx context.Context, c *placement, response *lavconn.Response, head platform.Response) (Outcome, error) {
 	isStream := t.call.Route.Kind == lavconfig.KindStreaming
 	switch {
+	case head.UnstatedPromise && !t.call.Route.Repeatable():
+		response.Close(head.IdleTimeout)
+		return again, errors.Mark(errUnstatedPromise, lavconn.ErrResponseLost)
 	case !isStream || response.Status >= http.StatusMultipleChoices:
 		return t.forwardWhole(ctx, response, head)
 	case !head.Events:
--- a/lavrelay/reserve_test.go
+++ b/lavrelay/reserve_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"net/netip"
 	"testing"
 	"testing/synctest"
@@ -33,7 +32,7 @@
 }
 
 // assertFreedAfter checks that no reservation outlasts the end of its request by more than freeTime.
-func assertFreedAfter(t *testing.T, reserved []standin.Reserved, end time.Time) {
+func assertFreedAfter(t *testing.T, reserved []standin.ReserveOrder, end time.Time) {
 	t.Helper()
 	for _, r := range reserved {
 		lavassert.AtMost(t, "reserved after the end of the request", r.Received.Add(r.Hold).Sub(end), freeTime)
@@ -41,7 +40,7 @@
 }
 
 // assertHeld checks that a reservation lasts from its first order until a time without a gap.
-func assertHeld(t *testing.T, reserved []standin.Reserved, until time.Time) {
+func assertHeld(t *testing.T, reserved []standin.ReserveOrder, until time.Time) {
 	t.Helper()
 	held := reserved[0].Received
 	for _, r := range reserved {
@@ -54,11 +53,10 @@
 // TestReservationEndsWithItsRequest guards against KV cache that stays reserved for a request that has ended
 // with its endpoint or its host.
 func TestReservationEndsWithItsRequest(t *testing.T) {
-	ok := standin.Respond(http.StatusOK, "{}")
 	t.Run("EndpointIsSilent", func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
 			const lives = 3300 * time.Millisecond
-			b := newFixture(standin.NeverRespond, ok)
+			b := newFixture(standin.NeverRespond, standin.Reserved)
 			b.endpoints.Set(endpointAt(1), standin.DarkAfter(lives))
 			end := time.Now().Add(lives)
 			reservations := reserveFor(context.Background(), t, b)
@@ -71,7 +69,7 @@
 	})
 	t.Run("HostEnds", func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
-			b := newFixture(standin.DarkAfter(time.Hour), ok)
+			b := newFixture(standin.DarkAfter(time.Hour), standin.Reserved)
 			ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
 			defer cancel()
 			reservations := reserveFor(ctx, t, b)
@@ -83,7 +81,7 @@
 	})
 	t.Run("EndpointIsBusy", func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
-			b := newFixture(standin.DarkAfter(time.Hour), ok)
+			b := newFixture(standin.DarkAfter(time.Hour), standin.Reserved)
 			reservations := reserveFor(context.Background(), t, b)
 			time.Sleep(15 * time.Second)
 			assertHeld(t, b.endpoints.Reserved(endpointAt(2)), time.Now())
@@ -97,7 +95,7 @@
 // TestEventsSpareQuestions checks that an endpoint that sends events isn't asked whether it is alive.
 func TestEventsSpareQuestions(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		b := newFixture(standin.DarkAfter(time.Hour), standin.Respond(http.StatusOK, "{}"))
+		b := newFixture(standin.DarkAfter(time.Hour), standin.Reserved)
 		reservations := reserveFor(context.Background(), t, b)
 		for range 50 {
 			time.Sleep(100 * time.Millisecond)
