Make an endpoint the last choice also when a silent run is kept there

Now the first question that keeps a run backs its endpoint off, as a failed run does; a good answer ends that. A question that the stream's next event ends no longer counts as a reason in Kept.

--- a/lavrelay/attempt.go
+++ b/lavrelay/attempt.go
@@ -23,7 +23,7 @@
 	t.tried[incarnation] = true
 	t.trace.recordAttempt(c)
 	silence, probe := t.silenceLimits(t.runs + 1)
-	t.takeover = t.newTakeover(silence)
+	t.takeover = t.newTakeover(c, silence)
 	reservations, err := t.reserve(ctx, c)
 	if err != nil {
 		return again
--- a/lavrelay/takeover.go
+++ b/lavrelay/takeover.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"time"
 
+	"lavenderrack.example/lavenderrack/lavconfig"
 	"lavenderrack.example/lavenderrack/lavconn"
 	"lavenderrack.example/lavenderrack/lavfleet"
 )
@@ -35,6 +36,8 @@
 	// asker is the call as another attempt at it would begin. It shares with its task only what
 	// doesn't change during an attempt, since it looks for endpoints beside that.
 	asker *task
+	// endpoint is the one that may be silent.
+	endpoint lavconfig.Incarnation
 	// silence is the time after which the run may be given up.
 	silence time.Duration
 	// reserved is the place, once there is one.
@@ -45,9 +48,9 @@
 }
 
 // newTakeover returns the takeover of an attempt that is about to begin.
-func (t *task) newTakeover(silence time.Duration) *takeover {
+func (t *task) newTakeover(c *placement, silence time.Duration) *takeover {
 	asker := &task{relay: t.relay, call: t.call, tried: t.tried, arrivals: t.arrivals + 1, takesRetry: true}
-	return &takeover{asker: asker, silence: silence}
+	return &takeover{asker: asker, endpoint: c.endpoint.Incarnation(), silence: silence}
 }
 
 // watch returns the silence after which the run may be given up.
@@ -57,9 +60,21 @@
 
 // reserve reports whether the run may be given up, since another place is reserved for it.
 func (o *takeover) reserve(ctx context.Context) bool {
+	place, kept := o.asker.reserveElsewhere(ctx, time.Now().Add(-o.silence))
+	if ctx.Err() != nil {
+		// The silence has ended, or the call has.
+		if place != nil {
+			place.run.Cancel()
+		}
+		return false
+	}
 	o.asked++
-	o.reserved, o.kept = o.asker.reserveElsewhere(ctx, time.Now().Add(-o.silence))
-	return o.reserved != nil
+	o.reserved, o.kept = place, kept
+	if place == nil && o.asked == 1 {
+		// Others should rather go elsewhere. A run that is given up says so by its verdict.
+		o.asker.relay.fleet.BackOff(o.endpoint)
+	}
+	return place != nil
 }
 
 // reserveElsewhere reserves another place with a retry for a run that has been silent since a time, or
@@ -79,9 +94,6 @@
 	t.trace.lastEvent = silentSince
 	c := t.chooseNow(ctx)
 	switch {
-	case c != nil && ctx.Err() != nil:
-		c.run.Cancel()
-		return nil, keepNoRoom
 	case c != nil:
 		return c, keepNone
 	case t.trace.retryShare.Exhausted():
--- a/lavrelay/takeover_test.go
+++ b/lavrelay/takeover_test.go
@@ -333,3 +333,21 @@
 		b.settle()
 	})
 }
+
+// TestSilentEndpointIsLastChoice guards against requests that go on to an endpoint which is silent, since
+// what runs there can't go elsewhere.
+func TestSilentEndpointIsLastChoice(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newFixture(standin.PausingStream(0, 5*time.Second), standin.Stream(standin.StreamEvents))
+		b.fleet.SetRetryHosts(1, false)
+		var silent sync.WaitGroup
+		silent.Go(func() { lavassert.Equal(t, "whole streams", b.serveAll(1), 1) })
+		time.Sleep(moveAfter + 10*time.Millisecond)
+		lavassert.Equal(t, "endpoints in backoff", b.inBackoff(), 1)
+		lavassert.Equal(t, "whole streams beside it", b.serveAll(3), 3)
+		lavassert.Equal(t, "requests to the silent endpoint", b.arrivalsAt(1), 1)
+		silent.Wait()
+		lavassert.Equal(t, "endpoints in backoff after its answer", b.inBackoff(), 0)
+		b.settle()
+	})
+}
