Take a response for the list of hosts only if it is one

What operators would see: all hosts count as gone after a success of something else at the list's address. Cause: null was an empty list, and the objects of any list were hosts without names. Why it works: there must be a list, and each host in it a name; otherwise the last list stays in effect. An empty list still counts.

--- a/lavendpoint/hostlist.go
+++ b/lavendpoint/hostlist.go
@@ -3,9 +3,12 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 
 	"lavenderrack.example/lavenderrack/lavjson"
 	"lavenderrack.example/lavenderrack/lavstep"
+
+	"github.com/cockroachdb/errors"
 )
 
 // HostState is one host's entry in the platform's host list.
@@ -40,5 +43,21 @@
 		return nil, err
 	}
 	hosts, err := lavjson.Get[[]HostState](ctx, h.client, h.url, maxHostListBytes)
+	if err == nil {
+		err = checkHostList(hosts)
+	}
 	return hosts, lavstep.Wrap(err, lavstep.HostList, h.url)
 }
+
+// errNoHostList means that a response is no list of hosts.
+var errNoHostList = errors.New("response is no list of hosts")
+
+// checkHostList returns an error if a response has no list, or one of something else. All hosts would
+// seem to have left.
+func checkHostList(hosts []HostState) error {
+	isNameless := func(h HostState) bool { return h.Name == "" }
+	if hosts == nil || slices.ContainsFunc(hosts, isNameless) {
+		return errNoHostList
+	}
+	return nil
+}
