--- a/lavrelay/extraanswer_test.go
+++ b/lavrelay/extraanswer_test.go
@@ -2,12 +2,16 @@
 
 import (
 	"context"
+	"io"
+	"net"
 	"net/http"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"lavenderrack.example/lavenderrack/lavassert"
 	"lavenderrack.example/lavenderrack/lavconfig"
+	"lavenderrack.example/lavenderrack/lavconn"
 	"lavenderrack.example/lavenderrack/platform/standin"
 )
 
@@ -30,3 +34,27 @@
 		})
 	}
 }
+
+// lateExtra is long after an answer and long before the next request.
+const lateExtra = 10 * time.Millisecond
+
+// TestLateExtraAnswerOnSocketIsNoAnswer guards against the same bytes on a TCP connection that lies idle.
+func TestLateExtraAnswerOnSocketIsNoAnswer(t *testing.T) {
+	for name, extra := range standin.ExtraAnswers() {
+		t.Run(name, func(t *testing.T) {
+			first := standin.Respond(http.StatusOK, "first")
+			late := func(c net.Conn, r *http.Request) {
+				first(c, r)
+				time.AfterFunc(lateExtra, func() { _, _ = io.WriteString(c, extra) })
+			}
+			b := newFixtureNow(standin.InTurn(late, standin.Respond(http.StatusOK, "ok")))
+			b.relay.pool = lavconn.New(b.endpoints.DialSocket, 2)
+			lavassert.Equal(t, "first answer", b.serve(context.Background(), b.call(lavconfig.KindSafe)).Body.String(), "first")
+			time.Sleep(5 * lateExtra)
+			out := b.serve(context.Background(), b.call(lavconfig.KindSafe))
+			lavassert.Equal(t, "status", out.Code, http.StatusOK)
+			lavassert.Equal(t, "body", out.Body.String(), "ok")
+			b.closePool()
+		})
+	}
+}
