Handle SIGHUP before the other packages of the program are initialised

The handler was set when the command began to run, after all packages had been initialised. TestReloadAtAnyAge sends SIGHUP to 200 starting processes, at ages of 0 to 20 ms in steps of 0.1 ms.

Package lavreload imports only os, os/signal and syscall, so that Go initialises it right after these, before net and all other packages of this module: TestReloadIsHandledFirst, which failed before. So the window is shortened, not closed: a process can't handle a signal before its runtime is up.

Commands other than entry have no settings to read again, so SIGHUP ends them as before: TestReloadEndsOtherCommands, which runs into its time limit without the call of Stop. The handler now stays until the process of a host has ended.

--- a/cmd/lavenderrack/entry.go
+++ b/cmd/lavenderrack/entry.go
@@ -8,13 +8,12 @@
 	"net/http"
 	"net/netip"
 	"os"
-	"os/signal"
 	"runtime/debug"
-	"syscall"
 	"time"
 
 	"lavenderrack.example/lavenderrack/lavconn"
 	"lavenderrack.example/lavenderrack/lavhost"
+	"lavenderrack.example/lavenderrack/lavreload"
 	"lavenderrack.example/lavenderrack/platform"
 
 	"github.com/cockroachdb/errors"
@@ -38,6 +37,9 @@
 	logBufferLines = 4096
 )
 
+// entryName is the name of the command that runs an entry host on the platform.
+const entryName = "entry"
+
 // entryCommand runs an entry host on the platform, with the settings file that the
 // platform provides.
 type entryCommand struct {
@@ -45,7 +47,7 @@
 	metrics uint
 }
 
-func (*entryCommand) Name() string     { return "entry" }
+func (*entryCommand) Name() string     { return entryName }
 func (*entryCommand) Synopsis() string { return "run an entry host on the platform" }
 func (*entryCommand) Usage() string {
 	return `entry [-metrics PORT]
@@ -59,10 +61,6 @@
 }
 
 func (c *entryCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	// Without a handler SIGHUP ends the process, also while it starts.
-	reloadSignal := make(chan os.Signal, 1)
-	signal.Notify(reloadSignal, syscall.SIGHUP)
-	defer signal.Stop(reloadSignal)
 	if err := c.checkFlags(f); err != nil {
 		return c.usageError("entry: %v", err)
 	}
@@ -78,7 +76,7 @@
 		return c.fail(err, subcommands.ExitUsageError)
 	}
 	loadSettings := func() (platform.Settings, error) { return platform.LoadSettings(path) }
-	if err := runEntry(ctx, settings, uint16(c.metrics), loadSettings, reloadSignal); err != nil {
+	if err := runEntry(ctx, settings, uint16(c.metrics), loadSettings, lavreload.Requests()); err != nil {
 		return c.fail(err, subcommands.ExitFailure)
 	}
 	return subcommands.ExitSuccess
--- a/cmd/lavenderrack/main.go
+++ b/cmd/lavenderrack/main.go
@@ -15,6 +15,8 @@
 	"path/filepath"
 	"syscall"
 
+	"lavenderrack.example/lavenderrack/lavreload"
+
 	"github.com/google/subcommands"
 )
 
@@ -68,6 +70,10 @@
 	if err := flags.Parse(args[1:]); err != nil {
 		return int(subcommands.ExitUsageError)
 	}
+	if flags.Arg(0) != entryName {
+		// The other commands have no settings to read again.
+		lavreload.Stop()
+	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	return int(commander.Execute(ctx))
