Let engines of the fault matrix send bytes that are no event of their streams

The path of serve had frames of other streams in unit tests only; no system test sent them while hosts, store and engines act together.

--- a/lavfake/engine.go
+++ b/lavfake/engine.go
@@ -50,6 +50,8 @@
 	models   map[string]time.Time
 	adapters map[string]time.Time
 	counts   EngineCounts
+	// sendsForeign is true while the engine sends bytes that are no event of a stream.
+	sendsForeign bool
 }
 
 // NewEngine returns a warm engine.
--- a/lavfake/enginehttp.go
+++ b/lavfake/enginehttp.go
@@ -147,7 +147,7 @@
 		if written > offset || written == s.answerTokens {
 			event = e.encodeEvent(s, offset, written)
 		}
-		if _, err := w.Write(event); err != nil {
+		if _, err := w.Write(append(e.foreignBytes(s, offset), event...)); err != nil {
 			return
 		}
 		_ = controller.Flush()
--- a/lavfake/enginesettings.go
+++ b/lavfake/enginesettings.go
@@ -82,6 +82,8 @@
 	FenceRefused    int
 	FenceViolations int
 	LastSubmit      time.Time
+	// Foreign counts the times that the engine sent bytes which are no event of the stream.
+	Foreign int
 }
 
 // bytesPerToken is the token size in the tokenizer of the fake.
--- a/lavmatrix/fault.go
+++ b/lavmatrix/fault.go
@@ -44,6 +44,8 @@
 	// FaultDomainOut withdraws a failure domain by a release and adds it back by
 	// a later one.
 	FaultDomainOut
+	// FaultForeignBytes makes engines send bytes in their streams that are no event of them.
+	FaultForeignBytes
 	faultEnd
 )
 
--- a/lavmatrix/fault_string.go
+++ b/lavmatrix/fault_string.go
@@ -22,12 +22,13 @@
 	_ = x[FaultLinkLossy-11]
 	_ = x[FaultHostListLate-12]
 	_ = x[FaultDomainOut-13]
-	_ = x[faultEnd-14]
+	_ = x[FaultForeignBytes-14]
+	_ = x[faultEnd-15]
 }
 
-const _Fault_name = "NoneEngineDiesProcessDiesTurnsColdStoreDownStoreSlowReplyLostLeaseLapsedPausedOperatorsRaceCrashRequestResentConnectionSilentLinkLossyHostListLateDomainOutfaultEnd"
+const _Fault_name = "NoneEngineDiesProcessDiesTurnsColdStoreDownStoreSlowReplyLostLeaseLapsedPausedOperatorsRaceCrashRequestResentConnectionSilentLinkLossyHostListLateDomainOutForeignBytesfaultEnd"
 
-var _Fault_index = [...]uint8{0, 4, 14, 25, 34, 43, 52, 61, 78, 91, 109, 125, 134, 146, 155, 163}
+var _Fault_index = [...]uint8{0, 4, 14, 25, 34, 43, 52, 61, 78, 91, 109, 125, 134, 146, 155, 167, 175}
 
 func (i Fault) String() string {
 	idx := int(i) - 0
--- a/lavmatrix/inject.go
+++ b/lavmatrix/inject.go
@@ -21,6 +21,8 @@
 	pauseTime = 17 * time.Second
 	// lossyTime is how long links are lossy.
 	lossyTime = 5 * time.Second
+	// foreignBytesTime is how long engines send bytes that are no event.
+	foreignBytesTime = 2 * time.Second
 	// loadReportWait is how long entry hosts may take to learn from a load report
 	// that an engine has turned cold.
 	loadReportWait = time.Second
@@ -61,6 +63,21 @@
 	FaultLinkLossy:        func(s *system, _ *process, _ string) { s.makeLinksLossy() },
 	FaultHostListLate:     func(s *system, _ *process, _ string) { s.work.Go(s.delayHostList) },
 	FaultDomainOut:        func(s *system, _ *process, _ string) { s.work.Go(s.takeDomainOut) },
+	FaultForeignBytes:     func(s *system, _ *process, _ string) { s.sendForeignBytes() },
+}
+
+// sendForeignBytes makes every engine send bytes that are no event for foreignBytesTime.
+func (s *system) sendForeignBytes() {
+	set := func(on bool) {
+		for _, e := range s.engines {
+			e.SendForeign(on)
+		}
+	}
+	set(true)
+	s.work.Go(func() {
+		time.Sleep(foreignBytesTime)
+		set(false)
+	})
 }
 
 // makeLinksLossy makes every link lossy for lossyTime.
