Count by service the retries that are denied since the share is withheld

What callers saw: streams and requests that end with Budget. The counter retries_denied did not say whether the share was used up or the host might not use its part of the burst, as after its start.

Denied retries are now counted by service and reason, retries_withheld and retries_used_up: withheld are those that the host's part of the burst would have allowed. The gauge retry_burst_withheld is 1 while a host may not use its part.

--- a/lavfleet/budget.go
+++ b/lavfleet/budget.go
@@ -65,11 +65,19 @@
 	// use its part of it.
 	Hosts int
 	Burst bool
+	// Part is this host's part of the burst, whether it may use it or not.
+	Part float64
 }
 
 // Exhausted reports whether the share allows no further retry.
 func (s RetryShare) Exhausted() bool { return float64(s.Sent+1) > s.Allowed }
 
+// Withheld reports whether the share allows no further retry, but would if this host could use its part
+// of the burst.
+func (s RetryShare) Withheld() bool {
+	return s.Exhausted() && !s.Burst && float64(s.Sent+1) <= s.Allowed+s.Part
+}
+
 // left returns how many retries are left.
 func (s RetryShare) left() float64 { return s.Allowed - float64(s.Sent) }
 
@@ -79,9 +87,10 @@
 	last := b.requests.stepOf(now)
 	tightest := RetryShare{Hosts: max(d.hosts, 1)}
 	tightest.Burst = d.mayUse && now.Sub(b.countingSince) >= bounds.Window
+	tightest.Part = bounds.Burst / float64(tightest.Hosts)
 	burst := 0.0
 	if tightest.Burst {
-		burst = bounds.Burst / float64(tightest.Hosts)
+		burst = tightest.Part
 	}
 	for end := last; end <= last+countedSteps; end++ {
 		s := tightest
--- a/lavfleet/fleet.go
+++ b/lavfleet/fleet.go
@@ -211,6 +211,13 @@
 	return f.burst.hosts
 }
 
+// RetryBurstWithheld reports whether this host may not use its part of the burst of retry budgets.
+func (f *Fleet) RetryBurstWithheld() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return !f.burst.mayUse
+}
+
 // SetPeerReport replaces the load of all other hosts.
 func (f *Fleet) SetPeerReport(r Report) {
 	now := time.Now()
--- a/lavhost/statereport.go
+++ b/lavhost/statereport.go
@@ -33,6 +33,7 @@
 		h.ingress.account.Publish()
 	}
 	s.scope.Gauge("hosts_dividing_bounds").Update(float64(h.fleet.RetryHosts()))
+	s.scope.Gauge("retry_burst_withheld").Update(gaugeOf(h.fleet.RetryBurstWithheld()))
 	s.scope.Gauge("members").Update(float64(len(h.peers.View().Members)))
 }
 
--- a/lavrelay/metrics.go
+++ b/lavrelay/metrics.go
@@ -23,6 +23,8 @@
 	// retried counts the retries taken from retry budgets, and notRetried those that a budget did
 	// not allow.
 	retried, notRetried tally.Counter
+	// retries counts by service why retries were denied.
+	retries tally.Scope
 	// unknown counts the statements that this version doesn't know.
 	unknown tally.Counter
 	// missed counts the calls that missed what their route promises.
@@ -48,8 +50,8 @@
 		firstEvent: s.Histogram("first_event", buckets),
 		took:       s.Histogram("took", buckets),
 	}
-	retries := scope.SubScope("retries")
-	c.retried, c.notRetried = retries.Counter("sent"), retries.Counter("denied")
+	c.retries = scope.SubScope("retries")
+	c.retried, c.notRetried = c.retries.Counter("sent"), c.retries.Counter("denied")
 	endpoints := scope.SubScope("endpoints")
 	c.leaving, c.leftAlone = endpoints.Counter("leaving_stated"), endpoints.Counter("left_alone")
 	c.limited = endpoints.Counter("limits_stated")
@@ -81,11 +83,17 @@
 	}
 }
 
-// countRetry counts a retry that the service's budget allowed or not.
-func (c *metrics) countRetry(allowed bool) {
+// countRetry counts a retry of a service that its budget allowed or not. A denied one is also counted by
+// whether the host's part of the burst was withheld or its share was used up.
+func (c *metrics) countRetry(service string, share lavfleet.RetryShare, allowed bool) {
 	if allowed {
 		c.retried.Inc(1)
 		return
 	}
 	c.notRetried.Inc(1)
+	reason := "used_up"
+	if share.Withheld() {
+		reason = "withheld"
+	}
+	c.retries.Tagged(map[string]string{"service": service}).Counter(reason).Inc(1)
 }
--- a/lavrelay/relay.go
+++ b/lavrelay/relay.go
@@ -193,7 +193,7 @@
 func (t *task) spendRetry() bool {
 	share, ok := t.relay.fleet.SpendRetry(t.call.Service)
 	t.trace.retryShare = share
-	t.relay.metrics.countRetry(ok)
+	t.relay.metrics.countRetry(t.call.Service, share, ok)
 	return ok
 }
 
