Keep the time of the latest list when an earlier read of it ends later

What callers saw: nothing by itself; a host that takes up its share could wait for one more read of the list, since the read that it had begun before it joined ended after the one that it made then.

Evidence: TestSuccessorTakesUpTheShare/AnEarlierReadOfTheListEndsLater failed before (may use its share: false), and passes now. The time only grows; the names of the earlier read count as before.

--- a/lavshare/handover_test.go
+++ b/lavshare/handover_test.go
@@ -33,6 +33,13 @@
 		s.assertMayUse(t, true)
 		s.assertHosts(t, 3)
 	})
+	t.Run("AnEarlierReadOfTheListEndsLater", func(t *testing.T) {
+		s := successor(t, joined(t), 5*time.Second)
+		s.list("a", "b")
+		s.roster.Listed(s.now, s.now.Add(-time.Second), []string{"a", "b"})
+		s.state("b", 3, time.Minute)
+		s.assertMayUse(t, true)
+	})
 	t.Run("WithoutHostsThatAreAwayToo", func(t *testing.T) {
 		s := successor(t, joined(t), 5*time.Second)
 		s.list("a", "b")
--- a/lavshare/roster.go
+++ b/lavshare/roster.go
@@ -83,7 +83,9 @@
 // Listed records which members the store lists, as asked at a time.
 func (r *Roster) Listed(now, askedAt time.Time, names []string) {
 	interrupted := askedAt.Sub(r.listedAt) > r.terms.ListInterval
-	r.listedAt = askedAt
+	if askedAt.After(r.listedAt) {
+		r.listedAt = askedAt
+	}
 	listed := make(map[string]bool, len(names))
 	for _, name := range names {
 		listed[name] = true
