--- a/lavfleet/run.go
+++ b/lavfleet/run.go
@@ -73,7 +73,7 @@
 		return nil, RetryShare{}
 	}
 	share := svc.budget.share(now, f.bounds.Retry, f.burst)
-	if share.Exhausted() || !lavplan.HasRoom(svc.Engine, primary.candidate(now), allocations[0].Load) {
+	if share.Exhausted() || f.retriesHandedOver || !lavplan.HasRoom(svc.Engine, primary.candidate(now), allocations[0].Load) {
 		return nil, share
 	}
 	r := f.begin(allocations, now)
--- a/lavrelay/takeover.go
+++ b/lavrelay/takeover.go
@@ -134,7 +134,7 @@
 		// The request reached no endpoint, so that this is no retry.
 		c.run.ReturnRetry()
 	} else {
-		t.relay.metrics.countRetry(true)
+		t.relay.metrics.countRetry(t.call.Service, t.trace.retryShare, true)
 	}
 	return c
 }
