Don't state the length of the first run's answer for a stream (ORDER)

Found by the review: the first endpoint states a length and breaks off; the stream goes on elsewhere, and the caller has the length of the first answer, so that his answer looks complete there, or is cut off in an event. Streams are sent in chunks now.

--- a/lavrelay/stream.go
+++ b/lavrelay/stream.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"lavenderrack.example/lavenderrack/lavconfig"
 	"lavenderrack.example/lavenderrack/lavconn"
 	"lavenderrack.example/lavenderrack/lavevent"
 	"lavenderrack.example/lavenderrack/platform"
@@ -125,6 +126,10 @@
 	}
 	t.headSent = true
 	platform.CopyResponseHeaders(t.out.Header(), response.Header)
+	if t.call.Route.Kind == lavconfig.KindStreaming && response.Status == http.StatusOK {
+		// A stream that goes on at another endpoint has another length.
+		platform.RemoveLength(t.out.Header())
+	}
 	t.out.WriteHeader(response.Status)
 }
 
