Don't end a stream as complete whose last run broke off inside an event (ORDER)

Found by the review: the first endpoint breaks off inside event 3, the second answers without any event, also with 204, and the caller has a complete answer of two events. What has been seen of event 3 shows that it exists. A resumed run without events now ends a stream only if nothing is known to follow, and only with 200.

--- a/lavevent/block.go
+++ b/lavevent/block.go
@@ -37,6 +37,16 @@
 	}
 }
 
+// beginsEvent reports whether a part of a block is the beginning of an event with an ID.
+func beginsEvent(p []byte) bool {
+	for line := range bytes.Lines(p) {
+		if bytes.HasPrefix(line, []byte("id:")) {
+			return true
+		}
+	}
+	return false
+}
+
 // trimCR returns a line without the carriage return at its end.
 func trimCR(line []byte) []byte { return bytes.TrimSuffix(line, []byte{'\r'}) }
 
--- a/lavevent/reader.go
+++ b/lavevent/reader.go
@@ -30,6 +30,8 @@
 	count    int
 	// sinceEvent is the number of bytes since the last event.
 	sinceEvent int
+	// interrupted is true if the last run ended inside an event, so that further events follow.
+	interrupted bool
 }
 
 // New returns a Reader for a stream that begins after the event with the ID lastID, which is empty
@@ -50,6 +52,10 @@
 		whole = r.partial[:n:n]
 		r.partial = append([]byte(nil), r.partial[n:]...)
 	}
+	if err != nil {
+		// What is foreign says nothing of the stream.
+		r.partial, r.lastLine = nil, 0
+	}
 	if err == nil && r.sinceEvent > maxBytesWithoutEvent {
 		err = ErrEndless
 	}
@@ -85,7 +91,7 @@
 		return err
 	}
 	r.count++
-	r.sinceEvent = 0
+	r.sinceEvent, r.interrupted = 0, false
 	return nil
 }
 
@@ -105,4 +111,11 @@
 
 // Resume drops what follows the last complete block, before the stream goes on with another run
 // after the event LastID.
-func (r *Reader) Resume() { r.partial, r.lastLine, r.sinceEvent = nil, 0, 0 }
+func (r *Reader) Resume() {
+	r.interrupted = r.interrupted || beginsEvent(r.partial)
+	r.partial, r.lastLine, r.sinceEvent = nil, 0, 0
+}
+
+// MayEnd reports whether the stream may end after the last event, by what is known of it: it has begun,
+// and no run has ended inside a further event.
+func (r *Reader) MayEnd() bool { return r.ids.last != "" && !r.interrupted && !r.Truncated() }
--- a/lavevent/reader_test.go
+++ b/lavevent/reader_test.go
@@ -106,6 +106,34 @@
 	}
 }
 
+func TestMayEnd(t *testing.T) {
+	tests := []struct {
+		name, lastID, first, second string
+		want                        bool
+	}{
+		{"NoEvent", "", "", "", false},
+		{"Events", "", event(1) + event(2), "", true},
+		{"ResumedByTheCaller", "7", "", "", true},
+		{"InsideAnEvent", "", event(1) + "id: 2\nda", "", false},
+		{"ResumedWithoutTheEvent", "", event(1) + "id: 2\nda", ":\n\n", false},
+		{"ResumedWithTheEvent", "", event(1) + "id: 2\nda", event(2), true},
+		{"ResumedAfterForeignBytes", "", event(1) + "error\n\n", "", true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			r := New(test.lastID, "")
+			// What follows foreign bytes is not read.
+			_, _ = read(r, test.first, 1)
+			if test.name != "InsideAnEvent" {
+				r.Resume()
+			}
+			_, err := read(r, test.second, 1)
+			lavassert.Equal(t, "error", err, nil)
+			lavassert.Equal(t, "may end", r.MayEnd(), test.want)
+		})
+	}
+}
+
 // assertNumbered checks that a text holds the events from first on, as a client would read it.
 func assertNumbered(t *testing.T, text string, first int) {
 	t.Helper()
--- a/lavrelay/attempt.go
+++ b/lavrelay/attempt.go
@@ -184,7 +184,7 @@
 		return again, errors.Mark(errUnstatedPromise, lavconn.ErrResponseLost)
 	case !isStream || response.Status >= http.StatusMultipleChoices:
 		return t.forwardWhole(ctx, response, head)
-	case !head.Events:
+	case !head.Events || response.Status != http.StatusOK:
 		response.Close(head.IdleTimeout)
 		return again, errors.Mark(errNoStream, lavconn.ErrResponseLost)
 	default:
--- a/lavrelay/nostream_test.go
+++ b/lavrelay/nostream_test.go
@@ -71,3 +71,25 @@
 		b.closePool()
 	})
 }
+
+// TestResumedStreamWithoutItsEventIsNotComplete guards against a stream that ends as complete although its first
+// run broke off inside a further event.
+func TestResumedStreamWithoutItsEventIsNotComplete(t *testing.T) {
+	for _, broken := range []standin.Handler{standin.Stream(2), standin.UnframedStream(2), standin.EndedStream(2)} {
+		for _, empty := range []standin.Handler{
+			standin.StreamOf("", standin.FramedByChunks, false),
+			standin.StreamOf("", standin.FramedByLength, false),
+			standin.StreamOf(": comment\n\n", standin.FramedByChunks, false),
+			standin.Respond(http.StatusNoContent, "", standin.EventsHeader),
+			standin.Respond(http.StatusResetContent, "", standin.EventsHeader),
+		} {
+			synctest.Test(t, func(t *testing.T) {
+				b := newFixture(broken, empty)
+				out := b.serve(context.Background(), b.call(lavconfig.KindStreaming))
+				lavassert.True(t, "connection aborted", out.aborted)
+				lavassert.True(t, "events of the first run", strings.HasPrefix(out.Body.String(), standin.EventsUpTo(2)))
+				b.closePool()
+			})
+		}
+	}
+}
--- a/lavrelay/stream.go
+++ b/lavrelay/stream.go
@@ -109,10 +109,10 @@
 // endStream ends the response to the caller after the end of an endpoint's stream. The
 // framing doesn't show that a stream is complete: a connection may end, and chunks may be
 // ended, at any byte. A stream that ends inside an event is truncated, and so is one without an
-// event, unless it is resumed: the caller may have had the last one.
+// event, unless it is resumed after what may be the last one.
 func (t *task) endStream(response *lavconn.Response, seenEvent bool) (Outcome, error) {
-	mayBeEmpty := t.events.LastID() != "" && response.Framing != lavconn.FramingClose
-	if t.events.Truncated() || !seenEvent && !mayBeEmpty {
+	mayBeEmpty := response.Framing != lavconn.FramingClose
+	if !t.events.MayEnd() || !seenEvent && !mayBeEmpty {
 		return 0, errors.Mark(errStreamTruncated, lavconn.ErrResponseLost)
 	}
 	t.sendHead(response)
