--- a/lavconn/exchange_test.go
+++ b/lavconn/exchange_test.go
@@ -300,6 +300,34 @@
 	}
 }
 
+// TestProbeOfAnEarlierExchange guards against a probe that fails after its exchange has ended and closes the
+// connection of the next one.
+func TestProbeOfAnEarlierExchange(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &server{script: func(s *server, c net.Conn, in *bufio.Reader, _ int) {
+			for id := 0; s.read(in); id++ {
+				time.Sleep(1500 * time.Millisecond)
+				reply(c, fmt.Sprint(id), "")
+			}
+		}}
+		dial := func(ctx context.Context, at netip.AddrPort) (net.Conn, error) {
+			if s.count() > 0 {
+				time.Sleep(time.Second)
+				return nil, errors.New("refused")
+			}
+			return s.dial(ctx, at)
+		}
+		p := New(dial, 4)
+		r := get("0")
+		r.ProbeAfter = time.Second
+		_, err := exchangeBody(p, r, "0")
+		lavassert.NoError(t, err)
+		_, err = exchangeBody(p, get("1"), "1")
+		lavassert.NoError(t, err)
+		p.Sweep(func(netip.AddrPort) bool { return false })
+	})
+}
+
 func TestTargetIsUnchanged(t *testing.T) {
 	text := string(get("1").encodeHead())
 	lavassert.True(t, "request line is unchanged", strings.HasPrefix(text, "GET /a%2Fb?c=d HTTP/1.1\r\nHost: h\r\n"))
--- a/lavconn/pool.go
+++ b/lavconn/pool.go
@@ -54,6 +54,9 @@
 	// fires.
 	probeAfter time.Duration
 	probeTimer *time.Timer
+	// probes guards probedExchange, which is the number of the exchange that is probed, 0 for none.
+	probes         sync.Mutex
+	probedExchange int
 	// silence watches the current exchange. It is nil if nothing is to be watched.
 	silence *silenceWatch
 }
--- a/lavconn/probe.go
+++ b/lavconn/probe.go
@@ -10,7 +10,9 @@
 func (c *conn) startProbeTimer(silence time.Duration) {
 	c.probeAfter = silence
 	if silence > 0 {
-		c.probeTimer = time.AfterFunc(silence, c.probeEndpoint)
+		exchange := c.uses + 1
+		c.setProbedExchange(exchange)
+		c.probeTimer = time.AfterFunc(silence, func() { c.probeEndpoint(exchange) })
 	}
 }
 
@@ -38,18 +40,34 @@
 	if c.probeAfter > 0 {
 		c.probeTimer.Stop()
 		c.probeAfter = 0
+		c.setProbedExchange(0)
+	}
+}
+
+func (c *conn) setProbedExchange(exchange int) {
+	c.probes.Lock()
+	defer c.probes.Unlock()
+	c.probedExchange = exchange
+}
+
+// closeProbed closes the connection unless the exchange that was probed has ended meanwhile.
+func (c *conn) closeProbed(exchange int) {
+	c.probes.Lock()
+	defer c.probes.Unlock()
+	if c.probedExchange == exchange {
+		c.close()
 	}
 }
 
 // probeEndpoint opens a second connection to the endpoint. If that fails, the
 // host is unreachable or the process has restarted and does not listen yet, so
 // no response will arrive and the connection of the exchange is closed.
-func (c *conn) probeEndpoint() {
+func (c *conn) probeEndpoint(exchange int) {
 	ctx, cancel := context.WithTimeout(context.Background(), DialTimeout)
 	defer cancel()
 	probe, err := c.pool.dial(ctx, c.address)
 	if err != nil {
-		c.close()
+		c.closeProbed(exchange)
 		return
 	}
 	// The probe only needed to establish that the endpoint accepts connections.
