--- a/lavconn/head.go
+++ b/lavconn/head.go
@@ -19,6 +19,9 @@
 func checkHead(response *http.Response) error {
 	status := response.StatusCode
 	switch {
+	case response.ProtoMajor != 1 || response.ProtoMinor != 1:
+		// In HTTP/1.0 there are no chunks, so that they would count as a part of the body.
+		return errors.Newf("response is %s", response.Proto)
 	case status < minStatus || status > maxStatus:
 		return errors.Newf("response has the status %d", status)
 	case status == http.StatusSwitchingProtocols:
