--- a/lavrelay/attempt.go
+++ b/lavrelay/attempt.go
@@ -92,7 +92,7 @@
 		HostName:      t.call.HostName,
 		Header:        platform.EncodeForwardedRequest(t.call.Header, forwarded),
 		Body:          t.call.Body,
-		NewConnection: !t.call.Route.Repeatable(),
+		NewConnection: !t.call.Route.Repeatable() || t.call.ID == "",
 		ProbeAfter:    probe,
 		Silence:       t.takeover.watch(),
 		WriteTimeout:  writeTimeout,
--- a/lavrelay/extraanswer_test.go
+++ b/lavrelay/extraanswer_test.go
@@ -58,3 +58,24 @@
 		})
 	}
 }
+
+// TestExtraAnswerToACallWithoutID guards against an answer on a kept connection that names no request, and that is
+// taken for the answer to one without an ID.
+func TestExtraAnswerToACallWithoutID(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		used := make(map[net.Conn]bool)
+		b := newFixture(func(c net.Conn, r *http.Request) {
+			if used[c] {
+				standin.Respond(http.StatusOK, "extra")(c, r)
+			}
+			used[c] = true
+			standin.Respond(http.StatusOK, "ok")(c, r)
+		})
+		for range 2 {
+			c := b.call(lavconfig.KindSafe)
+			c.ID, c.Header = "", http.Header{}
+			lavassert.Equal(t, "body", b.serve(context.Background(), c).Body.String(), "ok")
+		}
+		b.closePool()
+	})
+}
