Ask a planned stop also before a reserved place is used

Found by the review, by reading: a call that has not run, and whose other place was reserved just as its host stopped accepting, began all the same.

--- a/lavrelay/relay.go
+++ b/lavrelay/relay.go
@@ -193,8 +193,11 @@
 // nextPlacement returns where the next attempt is made, with the run counted there and the retry
 // taken. Without a placement, it returns the outcome of the call.
 func (t *task) nextPlacement(ctx context.Context) (*placement, Outcome) {
-	if c := t.takeReserved(); c != nil {
+	if c := t.takeReserved(); c != nil && t.mayBegin() {
 		return c, 0
+	} else if c != nil {
+		c.run.Cancel()
+		return nil, OutcomeLeaving
 	}
 	if err := t.relay.readiness.Await(ctx); err != nil {
 		return nil, OutcomeUnready
