--- a/lavload/load_test.go
+++ b/lavload/load_test.go
@@ -67,6 +67,7 @@
 func writeAnswer(w http.ResponseWriter, text string, tokens int) {
 	event, err := lavengine.AppendEvent(nil, "m", lavengine.Frame{ID: "r", Tokens: tokens, Text: text, Final: true})
 	if err == nil {
+		w.Header().Set(lavrequest.HeaderRequest, "r")
 		_, _ = w.Write(event)
 	}
 }
