--- a/lavrelay/unstamped_test.go
+++ b/lavrelay/unstamped_test.go
@@ -11,9 +11,8 @@
 	"lavenderrack.example/lavenderrack/platform/standin"
 )
 
-// TestResponseThatNamesNoRequestIsLost guards against a faulty endpoint's bytes that are taken for a
-// success, for a failure or for a refusal, though they name no request or bear no stamp.
-func TestResponseThatNamesNoRequestIsLost(t *testing.T) {
+// TestAnswerWithoutIDOrStampDoesNotReachCallers guards against wrong bytes that tell a caller that a payment was done, failed or never ran.
+func TestAnswerWithoutIDOrStampDoesNotReachCallers(t *testing.T) {
 	const body = "bad"
 	responses := map[string]standin.Identity{
 		"Anonymous":    {},
