Take a lease for renewed or ended only if the store's reply says so

The service's published protocol names the session in the reply to a renewal and sends true for an end. What lacks that has an unknown outcome, after which the lease is renewed again. The fake store sends what the service does.

--- a/lavfake/storehttp.go
+++ b/lavfake/storehttp.go
@@ -24,6 +24,9 @@
 	Session     lavstore.LeaseID `json:",omitempty"`
 }
 
+// session is the JSON encoding of a lease.
+type session struct{ ID lavstore.LeaseID }
+
 // Handler returns the store's HTTP interface.
 func (s *Store) Handler() http.Handler {
 	mux := http.NewServeMux()
@@ -32,7 +35,8 @@
 	mux.HandleFunc("DELETE /v1/kv/{key...}", s.httpDelete)
 	mux.HandleFunc("PUT /v1/session/create", s.httpGrant)
 	mux.HandleFunc("PUT /v1/session/renew/{id}", func(w http.ResponseWriter, r *http.Request) {
-		s.respond(w, s.Renew(r.Context(), lavstore.LeaseID(r.PathValue("id"))), []struct{}{})
+		lease := lavstore.LeaseID(r.PathValue("id"))
+		s.respond(w, s.Renew(r.Context(), lease), []session{{lease}})
 	})
 	mux.HandleFunc("PUT /v1/session/destroy/{id}", func(w http.ResponseWriter, r *http.Request) {
 		s.respond(w, s.Revoke(r.Context(), lavstore.LeaseID(r.PathValue("id"))), true)
@@ -117,7 +121,7 @@
 		return
 	}
 	id, err := s.Grant(r.Context(), ttl)
-	s.respond(w, err, struct{ ID lavstore.LeaseID }{id})
+	s.respond(w, err, session{id})
 }
 
 // respond writes body as JSON, or the HTTP status that corresponds to err. For
--- a/lavstore/foreignreply_test.go
+++ b/lavstore/foreignreply_test.go
@@ -64,3 +64,40 @@
 		}
 	}
 }
+
+// TestForeignReplyRenewsNoLease guards against a success of something else than the store that counts as the renewal or the end of a lease.
+func TestForeignReplyRenewsNoLease(t *testing.T) {
+	const lease lavstore.LeaseID = "l-1"
+	calls := []struct {
+		name, reply string
+		call        func(ctx context.Context, s lavstore.Store) error
+	}{
+		{"Renew", `[{"ID":"l-1","TTL":"15s","Behavior":"delete"}]`, func(ctx context.Context, s lavstore.Store) error { return s.Renew(ctx, lease) }},
+		{"Revoke", "true\n", func(ctx context.Context, s lavstore.Store) error { return s.Revoke(ctx, lease) }},
+	}
+	foreign := map[string]string{
+		"Empty": "", "Page": "<html>ok</html>", "Null": "null", "Object": "{}", "List": "[]", "Half": `[{"ID":"l-1"`,
+		"OtherLease": `[{"ID":"l-2"}]`, "Grant": `{"ID":"l-1"}`, "Entries": `[{"Key":"a/x","ModifyIndex":3}]`,
+	}
+	for _, c := range calls {
+		t.Run(c.name, func(t *testing.T) {
+			assertReply(t, c.reply, func(t *testing.T, s lavstore.Store) { lavassert.NoError(t, c.call(t.Context(), s)) })
+			for name, body := range foreign {
+				t.Run(name, func(t *testing.T) {
+					assertReply(t, body, func(t *testing.T, s lavstore.Store) {
+						lavassert.ErrorIs(t, c.call(t.Context(), s), lavstore.ErrOutcomeUnknown)
+					})
+				})
+			}
+		})
+	}
+}
+
+// assertReply runs a check with a store that answers each call with a body.
+func assertReply(t *testing.T, body string, check func(t *testing.T, s lavstore.Store)) {
+	t.Helper()
+	respond := func(http.Handler) http.Handler {
+		return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, body) })
+	}
+	withHTTPStore(t, respond, func(t *testing.T, _ *lavfake.Store, s lavstore.Store) { check(t, s) })
+}
--- a/lavstore/http.go
+++ b/lavstore/http.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"net/url"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -162,16 +163,34 @@
 
 // Renew implements Store.
 func (h *HTTP) Renew(ctx context.Context, lease LeaseID) error {
-	_, _, err := h.write(ctx, http.MethodPut, "/v1/session/renew/"+escapePath(string(lease)), nil, nil)
+	body, _, err := h.write(ctx, http.MethodPut, "/v1/session/renew/"+escapePath(string(lease)), nil, nil)
 	if errors.Is(err, ErrNotFound) {
 		err = ErrLeaseGone
 	}
+	if err == nil {
+		err = checkRenewed(body, lease)
+	}
 	return lavstep.Wrap(err, lavstep.StoreLease, string(lease))
 }
 
+// checkRenewed returns an error unless the reply to a renewal lists the lease.
+func checkRenewed(body []byte, lease LeaseID) error {
+	var renewed []session
+	if err := json.Unmarshal(body, &renewed); err != nil {
+		return errors.Mark(err, ErrOutcomeUnknown)
+	}
+	if !slices.ContainsFunc(renewed, func(s session) bool { return s.ID == lease }) {
+		return errors.Mark(errForeignReply, ErrOutcomeUnknown)
+	}
+	return nil
+}
+
 // Revoke implements Store.
 func (h *HTTP) Revoke(ctx context.Context, lease LeaseID) error {
-	_, _, err := h.write(ctx, http.MethodPut, "/v1/session/destroy/"+escapePath(string(lease)), nil, nil)
+	body, _, err := h.write(ctx, http.MethodPut, "/v1/session/destroy/"+escapePath(string(lease)), nil, nil)
+	if err == nil {
+		err = decodeWritten(body)
+	}
 	return lavstep.Wrap(err, lavstep.StoreLease, string(lease))
 }
 
