Name the build in a host's first line, and count the answers that prove nothing

No line of a host says which code it ran, and run.sh starts whatever lies in target/, so that an old program can't be told from a fault of the new one. And nothing counted wrong bytes that came and were refused, so that a run without a failure doesn't show that there were any. Now the first line has Build (the commit that the Go command records, unknown without one), and endpoints_unproven_answers counts answers without the request's ID or, as successes, a stamp.

--- a/cmd/lavenderrack/entry.go
+++ b/cmd/lavenderrack/entry.go
@@ -117,6 +117,7 @@
 
 		Datagrams:   datagrams,
 		MetricsPort: metricsPort,
+		Build:       buildName(debug.ReadBuildInfo()),
 	})
 	return host.Serve(ctx)
 }
--- a/cmd/lavenderrack/version.go
+++ b/cmd/lavenderrack/version.go
@@ -51,7 +51,7 @@
 	}
 	result.Version = info.Main.Version
 	for _, s := range info.Settings {
-		if s.Key == "vcs.revision" {
+		if s.Key == settingRevision {
 			result.Revision = s.Value
 		}
 	}
--- a/lavhost/host.go
+++ b/lavhost/host.go
@@ -59,6 +59,8 @@
 	// it.
 	MetricsHandler http.Handler
 	MetricsPort    uint16
+	// Build names the code that the program was built from.
+	Build string
 }
 
 // Host is one entry host.
@@ -185,7 +187,7 @@
 // Serve runs the host until the context ends, then drains it and returns.
 func (h *Host) Serve(ctx context.Context) error {
 	h.deps.Logger.Info().Str("Host", h.settings.Host).Str("Incarnation", h.peers.Self().Incarnation).
-		Str("Settings", settingsDigest(h.settings)).Msg("start")
+		Str("Build", h.deps.Build).Str("Settings", settingsDigest(h.settings)).Msg("start")
 	supervisor := suture.New("lavenderrack", suture.Spec{EventHook: h.logSupervisorEvent})
 	running, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
--- a/lavrelay/attempt.go
+++ b/lavrelay/attempt.go
@@ -38,6 +38,7 @@
 	}
 	head := platform.DecodeResponse(response.Status, response.Header)
 	if err := t.checkIdentity(response.Status, head); err != nil {
+		t.relay.metrics.unproven.Inc(1)
 		response.Close(head.IdleTimeout)
 		verdict = t.recordFailure(ctx, c, err)
 		return t.afterNoResponse(ctx, err)
--- a/lavrelay/metrics.go
+++ b/lavrelay/metrics.go
@@ -20,6 +20,9 @@
 	leaving, leftAlone, limited tally.Counter
 	// foreign counts the streams in which an endpoint sent bytes that are no event.
 	foreign tally.Counter
+	// unproven counts the answers that were lost since they don't name the request, or are a success
+	// without a stamp.
+	unproven tally.Counter
 	// retried counts the retries taken from retry budgets, and notRetried those that a budget did
 	// not allow.
 	retried, notRetried tally.Counter
@@ -56,6 +59,7 @@
 	c.leaving, c.leftAlone = endpoints.Counter("leaving_stated"), endpoints.Counter("left_alone")
 	c.limited = endpoints.Counter("limits_stated")
 	c.foreign = endpoints.Counter("foreign_bytes")
+	c.unproven = endpoints.Counter("unproven_answers")
 	c.unknown = endpoints.Counter("unknown_statements")
 	for reason := range c.excluded {
 		c.excluded[reason] = endpoints.Tagged(map[string]string{"reason": lavfleet.Reason(reason).String()}).Counter("excluded")
--- a/lavrelay/unstamped_test.go
+++ b/lavrelay/unstamped_test.go
@@ -9,6 +9,8 @@
 	"lavenderrack.example/lavenderrack/lavassert"
 	"lavenderrack.example/lavenderrack/lavconfig"
 	"lavenderrack.example/lavenderrack/platform/standin"
+
+	"github.com/uber-go/tally/v4"
 )
 
 // TestAnswerWithoutIDOrStampDoesNotReachCallers guards against wrong bytes that tell a caller that a payment was done, failed or never ran.
@@ -54,12 +56,15 @@
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		b := newFixture(faulty, standin.Respond(http.StatusOK, "ok"))
+		scope := tally.NewTestScope("", nil)
+		b.relay.metrics = newMetrics(scope)
 		c := b.call(kind)
 		c.Route.Resumable = false
 		out := b.serve(context.Background(), c)
 		lavassert.Equal(t, "status", out.Code, http.StatusBadGateway)
 		lavassert.Equal(t, "stamp", standin.ServerStamp(out.Header()), "")
 		lavassert.Equal(t, "arrivals", len(b.endpoints.Requests()), 1)
+		lavassert.Equal(t, "counted", scope.Snapshot().Counters()["endpoints.unproven_answers+"].Value(), 1)
 		b.closePool()
 	})
 }
