--- a/lavrelay/controlanswer_test.go
+++ b/lavrelay/controlanswer_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"net"
+	"net/http"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"lavenderrack.example/lavenderrack/lavassert"
 	"lavenderrack.example/lavenderrack/lavconfig"
+	"lavenderrack.example/lavenderrack/lavconn"
 	"lavenderrack.example/lavenderrack/platform/standin"
 )
 
@@ -101,3 +104,40 @@
 	lavassert.Equal(t, "reservations", count(standin.Reserved, reserved), standin.ControlBytes-standin.WrittenBy(standin.Reserved))
 	lavassert.Equal(t, "reports", count(standin.Report, reported), standin.ControlBytes-standin.WrittenBy(standin.Report))
 }
+
+// TestLateControlAnswerOnSocketIsNone guards against a repeated answer on an idle connection that counts as the report, or as the
+// renewal, that is asked for next.
+func TestLateControlAnswerOnSocketIsNone(t *testing.T) {
+	const latePace = 9
+	late := func(first, extra standin.Handler) standin.Handler {
+		return func(c net.Conn, r *http.Request) {
+			first(c, r)
+			time.AfterFunc(lateExtra, func() { extra(c, r) })
+		}
+	}
+	onSocket := func(handler standin.Handler) *fixture {
+		b := newFixtureNow(handler)
+		b.relay.pool = lavconn.New(b.endpoints.DialSocket, 2)
+		return b
+	}
+	t.Run("Report", func(t *testing.T) {
+		b := onSocket(standin.InTurn(late(standin.Report, standin.ReportPacing(latePace)), standin.Report))
+		_, at := b.controlled()
+		for range 2 {
+			report, err := b.relay.fetchReport(context.Background(), at.endpoint)
+			lavassert.NoError(t, err)
+			lavassert.Equal(t, "pace", report.Pace, standin.ReportedPace)
+			time.Sleep(5 * lateExtra)
+		}
+		b.closePool()
+	})
+	t.Run("Renewal", func(t *testing.T) {
+		refuse := standin.Control(http.StatusConflict, "{}")
+		b := onSocket(standin.InTurn(late(standin.Reserved, standin.Reserved), refuse))
+		orders, at := b.controlled()
+		lavassert.NoError(t, orders.reserveOne(context.Background(), at, true))
+		time.Sleep(5 * lateExtra)
+		lavassert.ErrorIs(t, orders.reserveOne(context.Background(), at, false), errNoKVSpace)
+		b.closePool()
+	})
+}
