Take a success for an engine's reply only if it names the engine

Engines name their incarnation in the header of a stream; now also in the replies that have no other proof, and one without it is broken: a reservation is then not held, and the prompt goes elsewhere. TestUnnamedReplyOfEngineIsBroken failed in its 7 cases without an incarnation before.

--- a/lavengine/foreignbytes_test.go
+++ b/lavengine/foreignbytes_test.go
@@ -133,3 +133,34 @@
 		lavassert.NoError(t, server.Close())
 	})
 }
+
+// TestUnnamedReplyOfEngineIsBroken guards against a success that names no engine and counts as the reply to a call without a result.
+func TestUnnamedReplyOfEngineIsBroken(t *testing.T) {
+	calls := map[string]func(ctx context.Context, e lavengine.Engine) error{
+		"Reserve": func(ctx context.Context, e lavengine.Engine) error {
+			return e.Reserve(ctx, lavengine.Reservation{ID: "r"})
+		},
+		"Release": func(ctx context.Context, e lavengine.Engine) error { return e.Release(ctx, "r") },
+		"Cancel":  func(ctx context.Context, e lavengine.Engine) error { return e.Cancel(ctx, "r") },
+		"Events":  func(ctx context.Context, e lavengine.Engine) error { _, err := e.Events(ctx, 1); return err },
+	}
+	bodies := map[string][]string{"Reserve": {"", "{}"}, "Release": {"", "{}"}, "Cancel": {"", "{}"}, "Events": {"[]"}}
+	for name, call := range calls {
+		for _, body := range bodies[name] {
+			for _, incarnation := range []string{"", "i"} {
+				t.Run(name+"/"+body+"/"+incarnation, func(t *testing.T) {
+					withEngine(t, func(w http.ResponseWriter, _ *http.Request) {
+						if incarnation != "" {
+							w.Header().Set(lavengine.HeaderIncarnation, incarnation)
+						}
+						_, _ = io.WriteString(w, body)
+					}, func(t *testing.T, e lavengine.Engine, _ *lavfakenet.Network) {
+						err := call(t.Context(), e)
+						lavassert.Equal(t, "taken for a reply", err == nil, incarnation != "")
+						lavassert.Equal(t, "reply is broken", errors.Is(err, lavengine.ErrBroken), incarnation == "")
+					})
+				})
+			}
+		}
+	}
+}
--- a/lavengine/http.go
+++ b/lavengine/http.go
@@ -21,7 +21,8 @@
 
 // Headers between an entry host and an engine.
 const (
-	// HeaderIncarnation carries the engine's incarnation in every response.
+	// HeaderIncarnation carries the engine's incarnation in each stream, and in each reply
+	// whose body has no field that shows what it answers.
 	HeaderIncarnation = "Lav-Incarnation"
 	// HeaderLastEventID carries the token offset from which a stream is resumed.
 	HeaderLastEventID = "Last-Event-ID"
@@ -68,7 +69,7 @@
 
 // Cancel implements Engine.
 func (h *HTTP) Cancel(ctx context.Context, id lavrequest.ID) error {
-	return h.call(ctx, lavstep.EngineCancel, http.MethodDelete, streamPath(id), nil, nil)
+	return h.callNamed(ctx, lavstep.EngineCancel, http.MethodDelete, streamPath(id), nil, nil)
 }
 
 func streamPath(id lavrequest.ID) string {
@@ -85,18 +86,18 @@
 // Events implements Engine.
 func (h *HTTP) Events(ctx context.Context, after uint64) ([]CacheEvent, error) {
 	var events []CacheEvent
-	err := h.call(ctx, lavstep.EngineEvents, http.MethodGet, fmt.Sprintf("/events?after=%d", after), nil, &events)
+	err := h.callNamed(ctx, lavstep.EngineEvents, http.MethodGet, fmt.Sprintf("/events?after=%d", after), nil, &events)
 	return events, err
 }
 
 // Reserve implements Engine.
 func (h *HTTP) Reserve(ctx context.Context, r Reservation) error {
-	return h.call(ctx, lavstep.EngineReserve, http.MethodPut, "/reservations/"+url.PathEscape(r.ID), r, nil)
+	return h.callNamed(ctx, lavstep.EngineReserve, http.MethodPut, "/reservations/"+url.PathEscape(r.ID), r, nil)
 }
 
 // Release implements Engine.
 func (h *HTTP) Release(ctx context.Context, id string) error {
-	return h.call(ctx, lavstep.EngineRelease, http.MethodDelete, "/reservations/"+url.PathEscape(id), nil, nil)
+	return h.callNamed(ctx, lavstep.EngineRelease, http.MethodDelete, "/reservations/"+url.PathEscape(id), nil, nil)
 }
 
 // PrefillBody is the request body of a prefill call.
@@ -142,11 +143,30 @@
 	return report, h.requireField(err, lavstep.EngineOrder, report.Incarnation != "")
 }
 
+// call makes a call whose result has a field that each reply to it has.
 func (h *HTTP) call(ctx context.Context, step lavstep.Step, method, path string, in, out any) error {
 	response, err := h.send(ctx, step, method, path, in, nil)
 	if err != nil {
 		return err
 	}
+	return h.readReply(step, response, out)
+}
+
+// callNamed is call without such a field: the header must name the engine's incarnation.
+func (h *HTTP) callNamed(ctx context.Context, step lavstep.Step, method, path string, in, out any) error {
+	response, err := h.send(ctx, step, method, path, in, nil)
+	if err != nil {
+		return err
+	}
+	if err := checkIncarnation(response, anyIncarnation); err != nil {
+		_ = response.Body.Close()
+		return lavstep.Wrap(err, step, h.baseURL)
+	}
+	return h.readReply(step, response, out)
+}
+
+// readReply reads the body of a success into out and closes it.
+func (h *HTTP) readReply(step lavstep.Step, response *http.Response, out any) error {
 	defer func() { _ = response.Body.Close() }()
 	text, err := io.ReadAll(io.LimitReader(response.Body, maxReplyBytes))
 	if err == nil {
--- a/lavengine/silence.go
+++ b/lavengine/silence.go
@@ -33,7 +33,7 @@
 // ErrSilent means that no data arrived on a connection within the timeout.
 var ErrSilent = errors.New("no data arrived on the connection within the timeout")
 
-// anyIncarnation is the incarnation of a stream that any one may answer.
+// anyIncarnation is the incarnation of a call that any one may answer.
 const anyIncarnation Incarnation = ""
 
 // checkIncarnation returns ErrBroken for a success that doesn't name the incarnation of an engine, or
--- a/lavfake/enginehttp.go
+++ b/lavfake/enginehttp.go
@@ -37,10 +37,18 @@
 		if e.isDown() || !e.acceptsConnection(r.RemoteAddr) {
 			panic(http.ErrAbortHandler)
 		}
+		w.Header().Set(lavengine.HeaderIncarnation, string(e.currentIncarnation()))
 		mux.ServeHTTP(w, r)
 	})
 }
 
+// currentIncarnation returns the engine's incarnation.
+func (e *Engine) currentIncarnation() lavengine.Incarnation {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.incarnation
+}
+
 // acceptsConnection returns false if the connection was first used under an
 // earlier incarnation of the engine. A real process loses its connections when
 // it dies, so such a connection must be closed.
