--- a/lavrelay/unstamped_test.go
+++ b/lavrelay/unstamped_test.go
@@ -15,40 +15,48 @@
 
 // TestAnswerWithoutIDOrStampDoesNotReachCallers guards against wrong bytes that tell a caller that a payment was done, failed or never ran.
 func TestAnswerWithoutIDOrStampDoesNotReachCallers(t *testing.T) {
-	const body = "bad"
 	responses := map[string]standin.Identity{
 		"Anonymous":    {},
 		"WithoutID":    {Stamped: true},
 		"WithoutStamp": {Named: true},
 	}
+	whole := func(h standin.Handler) standin.Handler { return h }
 	for name, identity := range responses {
-		t.Run(name, func(t *testing.T) {
-			t.Run("UnsafeSuccess", func(t *testing.T) {
-				assertLost(t, lavconfig.KindUnsafe, standin.RespondAs(identity, http.StatusOK, body))
-			})
-			t.Run("StreamSuccess", func(t *testing.T) {
-				assertLost(t, lavconfig.KindStreaming, standin.RespondAs(identity, http.StatusOK, standin.EventsUpTo(2), standin.EventsHeader))
-			})
-			t.Run("Retried", func(t *testing.T) {
-				synctest.Test(t, func(t *testing.T) {
-					b := newFixture(standin.RespondAs(identity, http.StatusOK, body), standin.Respond(http.StatusOK, "ok"))
-					out := b.serve(context.Background(), b.call(lavconfig.KindSafe))
-					lavassert.Equal(t, "status", out.Code, http.StatusOK)
-					lavassert.Equal(t, "body", out.Body.String(), "ok")
-					b.closePool()
-				})
-			})
-			if identity.Named {
-				return
-			}
-			t.Run("UnsafeRefusal", func(t *testing.T) {
-				assertLost(t, lavconfig.KindUnsafe, standin.RespondAs(identity, http.StatusServiceUnavailable, "", standin.NotRunHeader))
-			})
-			t.Run("UnsafeFailure", func(t *testing.T) {
-				assertLost(t, lavconfig.KindUnsafe, standin.RespondAs(identity, http.StatusInternalServerError, body))
-			})
+		t.Run(name, func(t *testing.T) { assertIdentityIsNone(t, identity, whole) })
+		t.Run(name+"InBytes", func(t *testing.T) { assertIdentityIsNone(t, identity, standin.InBytes) })
+	}
+}
+
+// assertIdentityIsNone checks that no answer with an identity counts, sent in a way.
+func assertIdentityIsNone(t *testing.T, identity standin.Identity, sent func(standin.Handler) standin.Handler) {
+	const body = "bad"
+	respond := func(status int, body string, headers ...string) standin.Handler {
+		return sent(standin.RespondAs(identity, status, body, headers...))
+	}
+	t.Run("UnsafeSuccess", func(t *testing.T) {
+		assertLost(t, lavconfig.KindUnsafe, respond(http.StatusOK, body))
+	})
+	t.Run("StreamSuccess", func(t *testing.T) {
+		assertLost(t, lavconfig.KindStreaming, respond(http.StatusOK, standin.EventsUpTo(2), standin.EventsHeader))
+	})
+	t.Run("Retried", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			b := newFixture(respond(http.StatusOK, body), standin.Respond(http.StatusOK, "ok"))
+			out := b.serve(context.Background(), b.call(lavconfig.KindSafe))
+			lavassert.Equal(t, "status", out.Code, http.StatusOK)
+			lavassert.Equal(t, "body", out.Body.String(), "ok")
+			b.closePool()
 		})
+	})
+	if identity.Named {
+		return
 	}
+	t.Run("UnsafeRefusal", func(t *testing.T) {
+		assertLost(t, lavconfig.KindUnsafe, respond(http.StatusServiceUnavailable, "", standin.NotRunHeader))
+	})
+	t.Run("UnsafeFailure", func(t *testing.T) {
+		assertLost(t, lavconfig.KindUnsafe, respond(http.StatusInternalServerError, body))
+	})
 }
 
 // assertLost checks that a call that may run once ends with a status that promises nothing.
