--- a/lavplan/simulate_test.go
+++ b/lavplan/simulate_test.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"container/heap"
-	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -11,152 +10,6 @@
 	"lavenderrack.example/lavenderrack/lavconfig"
 )
 
-// testEngine has the engine parameters of the target sites: the sites for which the
-// program is made, and whose objectives it must meet.
-var testEngine = &lavconfig.Engine{
-	Slots:                  16,
-	MemoryTokens:           450_000,
-	StepsPerIteration:      46,
-	Step:                   925 * time.Microsecond,
-	StepPerRequest:         4830 * time.Nanosecond,
-	StepPer1000Context:     2540 * time.Nanosecond,
-	PrefillTokensPerSecond: 256_000,
-	PrefillPerMillionPairs: 91700 * time.Nanosecond,
-	PrefillChunkTokens:     2048,
-	MeanPromptTokens:       13252,
-	MeanOutputTokens:       1540,
-}
-
-// workload describes one kind of prompt in a simulation.
-type workload struct {
-	name       string
-	perSecond  float64
-	meanTokens float64
-	spread     float64
-	maxTokens  float64
-	events     float64
-	objective  time.Duration
-	pause      time.Duration
-	// from and until bound the arrivals; an until of zero means the simulation's end.
-	from, until time.Duration
-	// swing is the amplitude of a wave in the arrivals, relative to the mean rate.
-	swing float64
-	// rank is that of the prompts, of ranks in all.
-	rank, ranks int
-}
-
-// wavePeriod is the period of waves in arrivals.
-const wavePeriod = 13 * time.Second
-
-// share returns the rate of arrivals at a time, relative to the highest of the wave.
-func (k workload) share(at time.Duration) float64 {
-	return (1 + k.swing*math.Sin(2*math.Pi*at.Seconds()/wavePeriod.Seconds())) / (1 + k.swing)
-}
-
-// The workloads of the target sites, at the rates of a normal day: short prompts in the
-// strict class, longer ones in the medium class, and very long ones in neither.
-var (
-	captions = workload{
-		name: "caption", perSecond: 30, meanTokens: 4960, spread: 0.9, maxTokens: 23_800, events: 35,
-		objective: 300 * time.Millisecond, pause: 200 * time.Millisecond,
-	}
-	packs = workload{
-		name: "pack", perSecond: 2.2, meanTokens: 45_000, spread: 0.5, maxTokens: 110_000, events: 21,
-		objective: 1500 * time.Millisecond, pause: 500 * time.Millisecond,
-	}
-	reviews = workload{
-		name: "review", perSecond: 0.9, meanTokens: 210_000, spread: 0.55, maxTokens: 1_000_000, events: 17,
-		objective: 3 * time.Second, pause: 800 * time.Millisecond,
-	}
-)
-
-func (k workload) scaled(factor float64) workload {
-	k.perSecond *= factor
-	return k
-}
-
-// between returns the workload with arrivals limited to the given interval.
-func (k workload) between(from, until time.Duration) workload {
-	k.from, k.until = from, until
-	return k
-}
-
-// drawTokens draws a prompt length from a log-normal distribution with the workload's
-// mean and relative spread.
-func (k workload) drawTokens(draw *rand.Rand) int {
-	sigma := math.Sqrt(math.Log(1 + k.spread*k.spread))
-	n := k.meanTokens * math.Exp(sigma*draw.NormFloat64()-sigma*sigma/2)
-	return int(min(n, k.maxTokens))
-}
-
-// stream is a prompt in a simulation.
-type stream struct {
-	workload   string
-	prompt     Prompt
-	arrived    time.Duration
-	eventsLeft int
-	// prefillsLeft is the number of parts whose prefill has not ended.
-	prefillsLeft int
-	primary      int
-	kvTokens     int
-	// host placed the stream at placedAt.
-	host       int
-	placedAt   time.Duration
-	started    time.Duration
-	lastEvent  time.Duration
-	longestGap time.Duration
-	refused    bool
-	done       bool
-}
-
-// inTime reports whether the answer was complete and met both objectives.
-func (s *stream) inTime() bool {
-	return s.done && s.started-s.arrived <= s.prompt.Objective && s.longestGap <= s.prompt.PauseObjective
-}
-
-// engine simulates a model engine with batch iterations.
-type engine struct {
-	queue        []*stream
-	decoding     []*stream
-	prefills     []*stream
-	prefillTimes []time.Duration
-	// runningPrefills is how much of each prefill is in the running iteration.
-	runningPrefills []time.Duration
-	busy            bool
-	// prefillDone is when the prefill backlog ends if nothing else runs.
-	prefillDone time.Duration
-	kvTokens    int
-	// placed are the parts of prompts that were placed here.
-	placed []placedPart
-}
-
-// placedPart is a part of a stream's prompt.
-type placedPart struct {
-	stream *stream
-	length time.Duration
-}
-
-// event is the end of an iteration, or one of the events below if engine is negative.
-type event struct {
-	at     time.Duration
-	engine int
-	stream *stream
-	plan   Plan
-}
-
-type events []event
-
-func (e events) Len() int           { return len(e) }
-func (e events) Less(i, j int) bool { return e[i].at < e[j].at }
-func (e events) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(x any)        { *e = append(*e, x.(event)) }
-func (e *events) Pop() any {
-	old := *e
-	x := old[len(old)-1]
-	*e = old[:len(old)-1]
-	return x
-}
-
 // placeFunc chooses endpoints for a prompt, like Place.
 type placeFunc func(e *lavconfig.Engine, p Prompt, candidates []Candidate, tieBreakers TieBreakers) (Plan, bool)
 
@@ -398,15 +251,6 @@
 	heap.Push(&w.pending, event{at: w.now + RetryAfter(candidates, Absence{}, w.draw.Float64), engine: arrival, stream: s})
 }
 
-// enqueue inserts a stream by priority, behind streams of the same priority.
-func (e *engine) enqueue(model *lavconfig.Engine, s *stream) {
-	i := len(e.queue)
-	for i > 0 && e.queue[i-1].prompt.Priority(model) > s.prompt.Priority(model) {
-		i--
-	}
-	e.queue = slices.Insert(e.queue, i, s)
-}
-
 func (w *simulation) addPrefill(i int, s *stream, part time.Duration) {
 	e := w.running[i]
 	e.placed = append(e.placed, placedPart{s, part})
@@ -451,26 +295,6 @@
 	return parts
 }
 
-// finishPrefills takes the running iteration's prefill off, and returns the streams of the parts
-// that are complete.
-func (e *engine) finishPrefills() []*stream {
-	var done, prefills []*stream
-	var times []time.Duration
-	for i, s := range e.prefills {
-		left := e.prefillTimes[i]
-		if i < len(e.runningPrefills) {
-			left -= e.runningPrefills[i]
-		}
-		if left <= 0 {
-			done = append(done, s)
-			continue
-		}
-		prefills, times = append(prefills, s), append(times, left)
-	}
-	e.prefills, e.prefillTimes, e.runningPrefills = prefills, times, nil
-	return done
-}
-
 func (w *simulation) endIteration(i int) {
 	e := w.running[i]
 	e.busy = false
