Review case 9: a segment of all prompts is refused for an hour

Cause: three crashes that prompts with a segment were lost in block the segment if none of its prompts has completed since, although no server was left to complete one.

Change: the case, as a script. Servers of the stand-ins ping at times of their own.

--- a/review/standin2/burst.go
+++ b/review/standin2/burst.go
@@ -63,7 +63,7 @@
 	c.addService(service{Name: "first", MaxConns: 96},
 		route{PathPrefix: "/first/", RouteType: "safe", TimeoutMS: 800, GoalMS: 300, MaxAttempts: 2})
 	w.configure(c)
-	for _, zone := range []string{"a", "b", "c"} {
+	for _, zone := range zones {
 		for _, name := range []string{"first", "later"} {
 			if err := w.addServer(name+"-"+zone, name, zone, 6, answerAfter(60*time.Millisecond)); err != nil {
 				return err
--- a/review/standin2/client.go
+++ b/review/standin2/client.go
@@ -39,16 +39,21 @@
 type request struct {
 	id, method, target string
 	deadline           time.Duration
+	// segments are the segments of the prompt, as the header lists them. It is empty for other requests.
+	segments string
 }
 
 // encode returns the bytes of a request, which has no body.
 func (q request) encode() []byte {
-	length := ""
+	more := ""
 	if q.method == http.MethodPost {
-		length = "Content-Length: 0\r\n"
+		more = "Content-Length: 0\r\n"
+	}
+	if q.segments != "" {
+		more += "X-Model: m\r\nX-Token-Count: 5000,1600\r\nX-Prompt-Prefix: " + q.segments + "\r\n"
 	}
 	return fmt.Appendf(nil, "%s %s HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Deadline-Ms: %d\r\nAuthorization: Bearer %s\r\n%s\r\n",
-		q.method, q.target, hostName, q.id, q.deadline.Milliseconds(), apiKey, length)
+		q.method, q.target, hostName, q.id, q.deadline.Milliseconds(), apiKey, more)
 }
 
 // reply is what a consumer has got.
--- a/review/standin2/consumers.go
+++ b/review/standin2/consumers.go
@@ -30,16 +30,24 @@
 	served bool
 }
 
+// attempt is one attempt at a request: when it was sent, and to which host.
+type attempt struct {
+	at   time.Time
+	host string
+}
+
 // consumers send requests at a mean rate, independent of the answers.
 type consumers struct {
 	world          *world
 	method, target string
 	limit          time.Duration
+	// prompts is true if each request is a prompt with a segment that all share, and one of its own.
+	prompts bool
 
 	mu   sync.Mutex
 	sent []sent
-	// hosts are the addresses of the hosts to which attempts were sent, by request ID.
-	hosts map[string]string
+	// attempts are all attempts, by request ID.
+	attempts map[string]attempt
 }
 
 // run lets a number of consumers send requests until the context ends, perSecond together.
@@ -61,16 +69,23 @@
 	return &group
 }
 
+// sharedSegment is the segment that all prompts share.
+const sharedSegment = "5c1e07a2:40"
+
 // send sends a request, and once more if it was not served and may be repeated.
 func (c *consumers) send(one *consumer) {
 	s := sent{at: time.Now()}
 	end := s.at.Add(c.limit)
-	for attempt := 0; attempt <= retries && time.Until(end) > 0; attempt++ {
+	for n := 0; n <= retries && time.Until(end) > 0; n++ {
 		q := request{id: newRequestID(), method: c.method, target: c.target, deadline: time.Until(end)}
+		if c.prompts {
+			q.target += q.id
+			q.segments = sharedSegment + "," + q.id + ":4960"
+		}
 		sentAt := time.Now()
 		p := one.do(q)
 		s.served = p.err == nil && p.status == http.StatusOK
-		c.recordAttempt(q.id, one.at)
+		c.recordAttempt(q.id, attempt{at: sentAt, host: one.at})
 		c.world.record.at(sentAt, "consumer: %s sent to %s", q.id, one.at)
 		c.world.record.printf("consumer: %s answered with status %d, error %v", q.id, p.status, p.err)
 		if s.served || !c.mayRepeat(p) {
@@ -90,21 +105,20 @@
 	return c.method == http.MethodGet || p.err == nil && p.status == http.StatusServiceUnavailable
 }
 
-// recordAttempt records to which host a request was sent.
-func (c *consumers) recordAttempt(id, address string) {
+func (c *consumers) recordAttempt(id string, a attempt) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.hosts == nil {
-		c.hosts = make(map[string]string)
+	if c.attempts == nil {
+		c.attempts = make(map[string]attempt)
 	}
-	c.hosts[id] = address
+	c.attempts[id] = a
 }
 
-// hostOf returns the address of the host to which a request was sent.
-func (c *consumers) hostOf(id string) string {
+// attempt returns the attempt with a request ID.
+func (c *consumers) attempt(id string) attempt {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.hosts[id]
+	return c.attempts[id]
 }
 
 // share returns how many requests were sent in a span, and how many of them were served.
--- a/review/standin2/foreign.go
+++ b/review/standin2/foreign.go
@@ -55,7 +55,7 @@
 		route{PathPrefix: "/pay/", RouteType: "unsafe", TimeoutMS: 800, GoalMS: 300, MaxAttempts: 1})
 	w.configure(c)
 	for _, name := range []string{"glyph", "shop"} {
-		for _, zone := range []string{"a", "b", "c"} {
+		for _, zone := range zones {
 			if err := w.addServer(name+"-"+zone, name, zone, 6, answerAfter(60*time.Millisecond)); err != nil {
 				return err
 			}
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -14,6 +14,8 @@
 // cases are the cases by their names. A case returns errBroken if its rule was broken.
 var cases = map[string]func(w *world) error{
 	"burst":         burst,
+	"recover":       recoverAfterKill,
+	"blamed":        blamed,
 	"watchers":      watchers,
 	"foreign-route": foreignRoute,
 	"foreign-drain": foreignDrain,
--- a/review/standin2/server.go
+++ b/review/standin2/server.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strings"
@@ -71,6 +72,9 @@
 	go s.accept(l)
 	s.beat(ctx)
 	go func() {
+		// Servers ping at times of their own.
+		sleep(ctx, rand.N(beatInterval))
+		s.beat(ctx)
 		tick := time.NewTicker(beatInterval)
 		defer tick.Stop()
 		for {
@@ -85,6 +89,22 @@
 	return nil
 }
 
+// crash ends the server at once. It says nothing to anybody, and its entry stays.
+func (s *server) crash() {
+	s.world.record.printf("server %s crashes", s.id)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stopBeat()
+	_ = s.listener.Close()
+	for c := range s.conns {
+		if tcp, ok := c.(*net.TCPConn); ok {
+			// The other side gets a reset, as from a process that ends with unread data.
+			_ = tcp.SetLinger(0)
+		}
+		_ = c.Close()
+	}
+}
+
 // beat writes the server's entry, unless the server has withdrawn it.
 func (s *server) beat(ctx context.Context) {
 	s.mu.Lock()
--- a/review/standin2/watchers.go
+++ b/review/standin2/watchers.go
@@ -31,8 +31,7 @@
 	defer stop()
 	look := &consumers{world: w, method: http.MethodGet, target: "/look/1", limit: 1500 * time.Millisecond}
 	group := look.run(ctx, 60, 60)
-	time.Sleep(5 * time.Second)
-	readers := w.mostWatching(watcherCount)
+	readers := w.mostWatching(watcherCount, 5*time.Second)
 	if w.trouble {
 		for _, h := range readers {
 			go h.kill()
@@ -56,8 +55,12 @@
 	return w.judgeDrain(s, gone, look, readers)
 }
 
-// mostWatching returns the hosts that have read the store most often in the last seconds.
-func (w *world) mostWatching(n int) []*host {
+// mostWatching returns the hosts that have read the store most often in a time that begins now.
+func (w *world) mostWatching(n int, during time.Duration) []*host {
+	for _, h := range w.hosts {
+		h.watches.Store(0)
+	}
+	time.Sleep(during)
 	hosts := slices.Clone(w.hosts)
 	slices.SortFunc(hosts, func(a, b *host) int { return int(b.watches.Load() - a.watches.Load()) })
 	for _, h := range hosts {
@@ -76,7 +79,7 @@
 		if after > 0 {
 			all++
 		}
-		calm := !slices.ContainsFunc(disturbed, func(h *host) bool { return h.front() == c.hostOf(a.id) })
+		calm := !slices.ContainsFunc(disturbed, func(h *host) bool { return h.front() == c.attempt(a.id).host })
 		if after > drainTime && calm {
 			late++
 			last = max(last, after)
--- a/review/standin2/world.go
+++ b/review/standin2/world.go
@@ -72,12 +72,14 @@
 	w.store.Put(key, text)
 }
 
+// zones are those of all installations.
+var zones = []string{"a", "b", "c"}
+
 // addHosts creates a number of hosts in three zones, without starting them.
 func (w *world) addHosts(n int) error {
-	zones := []string{"a", "b", "c"}
 	for i := range n {
 		address := fmt.Sprintf("%s.%d", w.network, 10+i)
-		w.hosts = append(w.hosts, &host{name: fmt.Sprintf("front-%d", i), zone: zones[i%3], address: address, world: w})
+		w.hosts = append(w.hosts, &host{name: fmt.Sprintf("front-%d", i), zone: zones[i%len(zones)], address: address, world: w})
 	}
 	var seeds []string
 	for _, h := range w.hosts[:min(3, n)] {
