--- a/review/standin2/client.go
+++ b/review/standin2/client.go
@@ -4,6 +4,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -41,6 +42,8 @@
 	deadline           time.Duration
 	// segments are the segments of the prompt, as the header lists them. It is empty for other requests.
 	segments string
+	// key is the consumer's key, apiKey if it is empty.
+	key string
 }
 
 // encode returns the bytes of a request, which has no body.
@@ -53,7 +56,7 @@
 		more += wire.Model + ": m\r\n" + wire.Tokens + ": 5000,1600\r\n" + wire.Segments + ": " + q.segments + "\r\n"
 	}
 	return fmt.Appendf(nil, "%s %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\nAuthorization: Bearer %s\r\n%s\r\n",
-		q.method, q.target, hostName, wire.RequestID, q.id, wire.Deadline, q.deadline.Milliseconds(), apiKey, more)
+		q.method, q.target, hostName, wire.RequestID, q.id, wire.Deadline, q.deadline.Milliseconds(), cmp.Or(q.key, apiKey), more)
 }
 
 // reply is what a consumer has got.
--- a/review/standin2/config.go
+++ b/review/standin2/config.go
@@ -5,12 +5,15 @@
 import "time"
 
 // config is a desired state as the operator writes it. It has the limits of the pages, one host name and one
-// tenant with one key.
+// tenant with its keys.
 type config struct {
-	Version   int
-	Host, Key string
-	Routes    []route
-	Services  []service
+	Version  int
+	Host     string
+	Keys     []string
+	Routes   []route
+	Services []service
+	// Idle is the text of further routes, which get no requests.
+	Idle string
 }
 
 // route is a route to a service.
@@ -47,7 +50,7 @@
 )
 
 // newConfig returns a desired state without routes and services.
-func newConfig() config { return config{Host: hostName, Key: apiKey} }
+func newConfig() config { return config{Host: hostName, Keys: []string{apiKey}} }
 
 // add adds a service with a route to it.
 func (c *config) add(s service, r route) {
--- a/review/standin2/consumers.go
+++ b/review/standin2/consumers.go
@@ -43,6 +43,8 @@
 	limit          time.Duration
 	// prompts is true if each request is a prompt with a segment that all share, and one of its own.
 	prompts bool
+	// key is their key, apiKey if it is empty.
+	key string
 
 	mu   sync.Mutex
 	sent []sent
@@ -77,7 +79,7 @@
 	s := sent{at: time.Now()}
 	end := s.at.Add(c.limit)
 	for n := 0; n <= retries && time.Until(end) > 0; n++ {
-		q := request{id: newRequestID(), method: c.method, target: c.target, deadline: time.Until(end)}
+		q := request{id: newRequestID(), method: c.method, target: c.target, deadline: time.Until(end), key: c.key}
 		if c.prompts {
 			q.target += q.id
 			q.segments = sharedSegment + "," + q.id + ":4960"
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -17,6 +17,7 @@
 	"recover":       recoverAfterKill,
 	"blamed":        blamed,
 	"watchers":      watchers,
+	"storm":         storm,
 	"foreign-route": foreignRoute,
 	"foreign-drain": foreignDrain,
 }
