--- a/lavconn/pool.go
+++ b/lavconn/pool.go
@@ -8,6 +8,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"lavenderrack.example/lavenderrack/lavresponse"
 )
 
 // idleTimeoutFactor is the fraction of the endpoint's idle timeout after which
@@ -36,7 +38,7 @@
 
 // conn is a connection and its state.
 type conn struct {
-	net.Conn
+	*lavresponse.Conn
 	pool    *Pool
 	address netip.AddrPort
 	// received limits the bytes that reader takes from the connection.
@@ -83,9 +85,10 @@
 	if err != nil {
 		return nil, err
 	}
-	received := &limitedReader{Reader: raw}
+	proven := lavresponse.NewConn(raw)
+	received := &limitedReader{Reader: proven}
 	reader := bufio.NewReaderSize(received, readBufferBytes)
-	return &conn{Conn: raw, pool: p, address: address, received: received, reader: reader}, nil
+	return &conn{Conn: proven, pool: p, address: address, received: received, reader: reader}, nil
 }
 
 // pop removes and returns the most recently used idle connection, which is the
@@ -149,7 +152,7 @@
 // Connections that are not sockets, such as those of tests, always count as
 // reusable.
 func (c *conn) isReusable() bool {
-	socket, ok := c.Conn.(syscall.Conn)
+	socket, ok := c.Conn.Conn.(syscall.Conn)
 	if !ok {
 		return true
 	}
--- /dev/null
+++ b/lavfront/serviceanswer_test.go
@@ -0,0 +1,148 @@
+package lavfront
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"lavenderrack.example/lavenderrack/lavassert"
+	"lavenderrack.example/lavenderrack/lavendpoint"
+	"lavenderrack.example/lavenderrack/lavledger"
+	"lavenderrack.example/lavenderrack/lavrelease"
+)
+
+// oneEndpoint is a list of one endpoint that takes work.
+type oneEndpoint struct{ address netip.AddrPort }
+
+// Snapshot implements the interface of an endpoint table.
+func (o oneEndpoint) Snapshot() *lavendpoint.Snapshot {
+	return &lavendpoint.Snapshot{Endpoints: []lavendpoint.Endpoint{{Name: "e", Service: "s", Addr: o.address, Phase: lavendpoint.PhaseReady}}}
+}
+
+// rawAnswer writes an answer on a connection whose request body is unread, and ends the connection.
+type rawAnswer func(c *net.TCPConn)
+
+// newRawService returns a client of a plain service whose endpoint answers with raw bytes.
+func newRawService(t *testing.T, answer rawAnswer) *serviceClient {
+	t.Helper()
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		c, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			t.Errorf("hijack: %v", err)
+			return
+		}
+		answer(c.(*net.TCPConn))
+	}))
+	t.Cleanup(server.Close)
+	address := netip.MustParseAddrPort(server.Listener.Addr().String())
+	return newServiceClient(oneEndpoint{address}, &http.Client{Transport: &http.Transport{DialContext: dialUnbuffered}})
+}
+
+// bufferBytes is about how much of an upload the kernel takes while the endpoint doesn't read it.
+const bufferBytes = 16 << 10
+
+// dialUnbuffered opens a connection on which an upload that isn't read stalls soon.
+func dialUnbuffered(ctx context.Context, network, address string) (net.Conn, error) {
+	c, err := (&net.Dialer{}).DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return c, c.(*net.TCPConn).SetWriteBuffer(bufferBytes)
+}
+
+// order returns a call that may run once, with a body of a size.
+func order(size int) *serviceCall {
+	return &serviceCall{
+		service: lavrelease.Service{Name: "s", NotRepeatable: []string{"/"}},
+		method:  http.MethodPost, path: "/", header: http.Header{}, key: "k",
+		body: bytes.Repeat([]byte("u"), size), timeout: 10 * time.Second,
+	}
+}
+
+// callOnce sends a call once.
+func (s *serviceClient) callOnce(c *serviceCall) (lavledger.Answer, error) {
+	answer, _, err := s.call(context.Background(), c, nil)
+	return answer, err
+}
+
+// resetAfter resets a connection after a time.
+func resetAfter(c *net.TCPConn, wait time.Duration) {
+	time.Sleep(wait)
+	_ = c.SetLinger(0)
+	_ = c.Close()
+}
+
+// uploadSizes are the lengths of requests that are written while their answers are read, in bytes.
+var uploadSizes = []int{16 << 10, 300 << 10, maxServiceBodyBytes}
+
+// uploadRuns is how often each case runs, since the kernel tells either the reader or the writer.
+const uploadRuns = 20
+
+// TestResetDuringUploadIsNoAnswer guards against a part of an answer that callers get as whole, since the
+// connection was reset while the request was written.
+func TestResetDuringUploadIsNoAnswer(t *testing.T) {
+	for _, size := range uploadSizes {
+		for _, wait := range []time.Duration{0, time.Millisecond, 30 * time.Millisecond} {
+			for _, part := range []int{2, 100 << 10} {
+				t.Run(fmt.Sprintf("%dBytes/%v/Part%d", size, wait, part), func(t *testing.T) {
+					s := newRawService(t, func(c *net.TCPConn) {
+						_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\n"+strings.Repeat("x", part))
+						resetAfter(c, wait)
+					})
+					for range uploadRuns {
+						answer, err := s.callOnce(order(size))
+						lavassert.True(t, fmt.Sprintf("lost, not a body of %d bytes", len(answer.Body)), err != nil)
+					}
+				})
+			}
+		}
+	}
+}
+
+// TestWholeAnswerDuringUploadIsAnswer guards against an answer that came whole and counts as lost, or that the caller
+// has to wait for, because the endpoint doesn't read the request.
+func TestWholeAnswerDuringUploadIsAnswer(t *testing.T) {
+	const unread = 1500 * time.Millisecond
+	body := strings.Repeat("x", 10<<10)
+	unframed := "HTTP/1.1 200 OK\r\n\r\n" + body
+	framed := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+	chunked := fmt.Sprintf("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(body), body)
+	finish := func(c *net.TCPConn) { _ = c.CloseWrite() }
+	ends := map[string]struct {
+		text string
+		end  func(c *net.TCPConn)
+	}{
+		"FinishLeftUnread": {unframed, func(c *net.TCPConn) { finish(c); resetAfter(c, unread) }},
+		"FinishThenReset":  {unframed, func(c *net.TCPConn) { finish(c); resetAfter(c, 0) }},
+		"FinishThenRead":   {unframed, func(c *net.TCPConn) { finish(c); _, _ = io.Copy(io.Discard, c); _ = c.Close() }},
+		"LengthThenReset":  {framed, func(c *net.TCPConn) { resetAfter(c, 0) }},
+		"LengthLeftUnread": {framed, func(c *net.TCPConn) { resetAfter(c, unread) }},
+		"ChunksThenReset":  {chunked, func(c *net.TCPConn) { resetAfter(c, 0) }},
+		"ChunksLeftUnread": {chunked, func(c *net.TCPConn) { resetAfter(c, unread) }},
+	}
+	for name, test := range ends {
+		for _, size := range uploadSizes {
+			t.Run(fmt.Sprintf("%s/%dBytes", name, size), func(t *testing.T) {
+				s := newRawService(t, func(c *net.TCPConn) {
+					_, _ = io.WriteString(c, test.text)
+					test.end(c)
+				})
+				for range 3 {
+					began := time.Now()
+					answer, err := s.callOnce(order(size))
+					lavassert.NoError(t, err)
+					lavassert.Equal(t, "bytes of the body", len(answer.Body), len(body))
+					lavassert.AtMost(t, "time", time.Since(began), unread/2)
+				}
+			})
+		}
+	}
+}
--- a/lavfront/serviceclient.go
+++ b/lavfront/serviceclient.go
@@ -15,6 +15,7 @@
 
 	"lavenderrack.example/lavenderrack/lavendpoint"
 	"lavenderrack.example/lavenderrack/lavledger"
+	"lavenderrack.example/lavenderrack/lavresponse"
 	"lavenderrack.example/lavenderrack/lavstep"
 
 	"github.com/cockroachdb/errors"
@@ -43,7 +44,7 @@
 
 func newServiceClient(endpoints interface{ Snapshot() *lavendpoint.Snapshot }, client *http.Client) *serviceClient {
 	// Redirects are not followed here but returned to the caller.
-	noRedirects := *client
+	noRedirects := *lavresponse.NewClient(client)
 	noRedirects.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 	return &serviceClient{endpoints: endpoints, keepAliveClient: &noRedirects, singleUseClient: withoutKeepAlive(&noRedirects), inFlight: make(map[string]int)}
 }
@@ -52,11 +53,7 @@
 // request.
 func withoutKeepAlive(client *http.Client) *http.Client {
 	singleUse := *client
-	transport, ok := client.Transport.(*http.Transport)
-	if client.Transport == nil {
-		transport, ok = http.DefaultTransport.(*http.Transport)
-	}
-	if ok {
+	if transport, ok := client.Transport.(*http.Transport); ok {
 		transport = transport.Clone()
 		transport.DisableKeepAlives = true
 		singleUse.Transport = transport
--- /dev/null
+++ b/lavresponse/doc.go
@@ -0,0 +1,10 @@
+// Package lavresponse holds what every reader of HTTP responses has to ask before it counts bytes as
+// a response, whichever client it uses.
+//
+// A server in trouble sends bytes that a lenient reader takes for a response: a part of a body that
+// a reset cut off looks like a body that ends with its connection. The package keeps such bytes from
+// being used, and leaves to its callers what a response has to say.
+//
+// The type Conn tells an end of the response from a reset that the kernel reported to the writer of
+// the request. It serves the connections of any client; NewClient equips an http.Client with it.
+package lavresponse
