Reject answers whose status is none wherever answers are read, by the check of entry

What callers saw: a server in trouble sent an answer of the status 000, and the client got it as an answer. On serve also 099, 101, 600, 700, 999 and +20 counted as ones.

Cause: net/http takes any number of three characters for a status. lavconn checked it; the readers that use an http.Transport didn't.

Why this works: there is one check, lavresponse.CheckHead, and lavconn calls it too. The constructors of the readers put it before an http.Transport (lavresponse.Checked); the mesh is left out, as its peers switch protocols. What it rejects is an error of the connection, so that a call is repeated where that is allowed, and else unknown: 502.

--- a/cmd/lavenderrack/fleet.go
+++ b/cmd/lavenderrack/fleet.go
@@ -13,6 +13,8 @@
 	"text/tabwriter"
 	"time"
 
+	"lavenderrack.example/lavenderrack/lavresponse"
+
 	"github.com/cockroachdb/errors"
 	"github.com/google/subcommands"
 	dto "github.com/prometheus/client_model/go"
@@ -139,7 +141,7 @@
 	if err != nil {
 		return runningState{}, err
 	}
-	response, err := http.DefaultClient.Do(request)
+	response, err := lavresponse.Checked(http.DefaultClient).Do(request)
 	if err != nil {
 		return runningState{}, errors.Wrap(err, "fetch metrics")
 	}
--- a/lavclient/client.go
+++ b/lavclient/client.go
@@ -12,6 +12,8 @@
 	"sync"
 	"time"
 
+	"lavenderrack.example/lavenderrack/lavresponse"
+
 	"github.com/cockroachdb/errors"
 )
 
@@ -53,7 +55,7 @@
 // New returns a Client. The HTTP client must not have a timeout, because that would
 // end streams and long calls early.
 func New(settings Settings, client *http.Client) *Client {
-	return &Client{settings: settings, http: client, failedAt: make(map[netip.AddrPort]time.Time)}
+	return &Client{settings: settings, http: lavresponse.Checked(client), failedAt: make(map[netip.AddrPort]time.Time)}
 }
 
 // NewKey returns a unique idempotency key.
--- a/lavconn/head.go
+++ b/lavconn/head.go
@@ -4,28 +4,20 @@
 	"net/http"
 	"strings"
 
-	"github.com/cockroachdb/errors"
-)
+	"lavenderrack.example/lavenderrack/lavresponse"
 
-// The statuses that a response may have.
-const (
-	minStatus = 100
-	maxStatus = 599
+	"github.com/cockroachdb/errors"
 )
 
-// checkHead returns an error for a header that net/http accepts although what follows it can't be
-// told to be a response. An informational response has no body, so that another status below 200
-// would make the body look like the next response.
+// checkHead returns an error for a head that net/http accepts although what follows it can't be told
+// to be the response of an endpoint.
 func checkHead(response *http.Response) error {
-	status := response.StatusCode
-	switch {
-	case response.ProtoMajor != 1 || response.ProtoMinor != 1:
+	if response.ProtoMajor != 1 || response.ProtoMinor != 1 {
 		// In HTTP/1.0 there are no chunks, so that they would count as a part of the body.
 		return errors.Newf("response is %s", response.Proto)
-	case status < minStatus || status > maxStatus:
-		return errors.Newf("response has the status %d", status)
-	case status == http.StatusSwitchingProtocols:
-		return errors.New("response switches to another protocol, which was not requested")
+	}
+	if err := lavresponse.CheckHead(response); err != nil {
+		return err
 	}
 	for name := range response.Header {
 		if !isFieldName(name) {
--- a/lavengine/http.go
+++ b/lavengine/http.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"lavenderrack.example/lavenderrack/lavrequest"
+	"lavenderrack.example/lavenderrack/lavresponse"
 	"lavenderrack.example/lavenderrack/lavstep"
 
 	"github.com/cockroachdb/errors"
@@ -44,6 +45,7 @@
 // http://10.0.0.1:8000. The HTTP client must not set a timeout, because a stream
 // stays open until its answer ends.
 func NewHTTP(client *http.Client, base string) *HTTP {
+	client = lavresponse.Checked(client)
 	return &HTTP{client: client, baseURL: base, closeIdle: client.CloseIdleConnections}
 }
 
--- a/lavengine/pin.go
+++ b/lavengine/pin.go
@@ -11,6 +11,8 @@
 	"sync"
 	"time"
 
+	"lavenderrack.example/lavenderrack/lavresponse"
+
 	"github.com/cockroachdb/errors"
 )
 
@@ -58,19 +60,18 @@
 
 // pinnedClient is the client of one engine for its current pin.
 type pinnedClient struct {
-	pin       Pin
-	client    *http.Client
-	transport *http.Transport
-	lastUsed  time.Time
+	pin      Pin
+	client   *http.Client
+	lastUsed time.Time
 }
 
 // NewPinnedClients returns pinned clients that dial in the same way as client.
 func NewPinnedClients(client *http.Client) *PinnedClients {
-	dial := (&net.Dialer{}).DialContext
-	if t, ok := client.Transport.(*http.Transport); ok && t.DialContext != nil {
-		dial = t.DialContext
+	return &PinnedClients{
+		unpinned: lavresponse.Checked(client),
+		dial:     lavresponse.Dial(client),
+		clients:  make(map[netip.AddrPort]*pinnedClient),
 	}
-	return &PinnedClients{unpinned: client, dial: dial, clients: make(map[netip.AddrPort]*pinnedClient)}
 }
 
 // Client returns the client of an engine. If the pin has changed, it replaces
@@ -81,7 +82,7 @@
 	entry := p.clients[addr]
 	if entry == nil || entry.pin != pin {
 		if entry != nil {
-			entry.transport.CloseIdleConnections()
+			entry.client.CloseIdleConnections()
 		}
 		entry = p.newPinnedClient(pin)
 		p.clients[addr] = entry
@@ -96,7 +97,7 @@
 func (p *PinnedClients) evictUnused(now time.Time) {
 	for addr, entry := range p.clients {
 		if !entry.lastUsed.IsZero() && now.Sub(entry.lastUsed) > pinUnusedTimeout {
-			entry.transport.CloseIdleConnections()
+			entry.client.CloseIdleConnections()
 			delete(p.clients, addr)
 		}
 	}
@@ -113,7 +114,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, entry := range p.clients {
-		entry.transport.CloseIdleConnections()
+		entry.client.CloseIdleConnections()
 	}
 }
 
@@ -125,7 +126,7 @@
 		MaxIdleConnsPerHost: pinMaxIdlePerHost,
 		IdleConnTimeout:     pinIdleTimeout,
 	}
-	return &pinnedClient{pin: pin, transport: transport, client: &http.Client{Transport: transport}}
+	return &pinnedClient{pin: pin, client: lavresponse.Checked(&http.Client{Transport: transport})}
 }
 
 // dialVerified opens a connection and checks that the engine matches the pin.
@@ -170,6 +171,9 @@
 		return report, err
 	}
 	defer func() { _ = response.Body.Close() }()
+	if err := lavresponse.CheckHead(response); err != nil {
+		return report, err
+	}
 	if response.StatusCode != http.StatusOK {
 		return report, errors.Newf("load report has the status %d", response.StatusCode)
 	}
--- a/lavfront/serviceanswer_test.go
+++ b/lavfront/serviceanswer_test.go
@@ -15,6 +15,7 @@
 
 	"lavenderrack.example/lavenderrack/lavassert"
 	"lavenderrack.example/lavenderrack/lavendpoint"
+	"lavenderrack.example/lavenderrack/lavfake"
 	"lavenderrack.example/lavenderrack/lavledger"
 	"lavenderrack.example/lavenderrack/lavrelease"
 )
@@ -146,3 +147,22 @@
 		}
 	}
 }
+
+// TestAnswerOfNoStatusIsNoAnswer guards against an answer whose status is none.
+func TestAnswerOfNoStatusIsNoAnswer(t *testing.T) { assertNoAnswers(t, lavfake.AnswersOfNoStatus("")) }
+
+// assertNoAnswers checks that none of the answers counts as that of a service.
+func assertNoAnswers(t *testing.T, answers []string) {
+	t.Helper()
+	for _, text := range answers {
+		head, _, _ := strings.Cut(text, "\r\n\r\n")
+		t.Run(strings.ReplaceAll(head, "\r\n", "|"), func(t *testing.T) {
+			s := newRawService(t, func(c *net.TCPConn) {
+				_, _ = io.WriteString(c, text)
+				_ = c.Close()
+			})
+			answer, err := s.callOnce(order(1))
+			lavassert.True(t, fmt.Sprintf("lost, not an answer of status %d", answer.Status), err != nil)
+		})
+	}
+}
--- a/lavfront/serviceclient.go
+++ b/lavfront/serviceclient.go
@@ -46,19 +46,7 @@
 	// Redirects are not followed here but returned to the caller.
 	noRedirects := *lavresponse.NewClient(client)
 	noRedirects.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
-	return &serviceClient{endpoints: endpoints, keepAliveClient: &noRedirects, singleUseClient: withoutKeepAlive(&noRedirects), inFlight: make(map[string]int)}
-}
-
-// withoutKeepAlive returns a copy of client that opens a new connection for each
-// request.
-func withoutKeepAlive(client *http.Client) *http.Client {
-	singleUse := *client
-	if transport, ok := client.Transport.(*http.Transport); ok {
-		transport = transport.Clone()
-		transport.DisableKeepAlives = true
-		singleUse.Transport = transport
-	}
-	return &singleUse
+	return &serviceClient{endpoints: endpoints, keepAliveClient: &noRedirects, singleUseClient: lavresponse.WithoutKeepAlives(&noRedirects), inFlight: make(map[string]int)}
 }
 
 // call sends the call once to one endpoint and also returns the endpoint's name. The
--- a/lavjson/get.go
+++ b/lavjson/get.go
@@ -6,6 +6,8 @@
 	"io"
 	"net/http"
 
+	"lavenderrack.example/lavenderrack/lavresponse"
+
 	"github.com/cockroachdb/errors"
 )
 
@@ -18,7 +20,7 @@
 	if err != nil {
 		return value, err
 	}
-	answer, err := client.Do(request)
+	answer, err := lavresponse.Checked(client).Do(request)
 	if err != nil {
 		return value, err
 	}
--- a/lavnode/calls.go
+++ b/lavnode/calls.go
@@ -76,7 +76,7 @@
 		Signer:    c.signer,
 		HandOver:  c.handOver,
 		Ledger:    c.ledger,
-		Client:    n.deps.Client,
+		Client:    n.client,
 		Scope:     n.deps.Scope,
 		Self:      n.members.Self,
 		Record:    n.errorBudget.Record,
--- a/lavnode/control.go
+++ b/lavnode/control.go
@@ -58,7 +58,7 @@
 		}
 		return len(n.members.View().Members)
 	}
-	guard := lavstore.NewGuard(lavstore.NewHTTP(n.deps.Client, n.settings.Stores...), lavstore.DefaultLimits(), hostCount, n.deps.Scope)
+	guard := lavstore.NewGuard(lavstore.NewHTTP(n.client, n.settings.Stores...), lavstore.DefaultLimits(), hostCount, n.deps.Scope)
 	n.store = guard.WithShare(1 - controlShare)
 	controlStore := guard.WithShare(controlShare)
 	c.store = controlStore
--- a/lavnode/node.go
+++ b/lavnode/node.go
@@ -14,6 +14,7 @@
 	"lavenderrack.example/lavenderrack/lavmesh"
 	"lavenderrack.example/lavenderrack/lavqueue"
 	"lavenderrack.example/lavenderrack/lavrelease"
+	"lavenderrack.example/lavenderrack/lavresponse"
 	"lavenderrack.example/lavenderrack/lavroute"
 	"lavenderrack.example/lavenderrack/lavsettings"
 	"lavenderrack.example/lavenderrack/lavstore"
@@ -44,8 +45,11 @@
 
 // Node is the process of one entry host.
 type Node struct {
-	settings    lavsettings.Settings
-	deps        Dependencies
+	settings lavsettings.Settings
+	deps     Dependencies
+	// client is that of the dependencies with checked responses. Peers, which the mesh calls,
+	// switch protocols.
+	client      *http.Client
 	store       lavstore.Store
 	members     *lavmember.Registry
 	releases    *lavrelease.Follower
@@ -61,9 +65,9 @@
 
 // New returns a node with the given settings. Run starts it.
 func New(settings lavsettings.Settings, deps Dependencies) *Node {
-	n := &Node{settings: settings, deps: deps}
+	n := &Node{settings: settings, deps: deps, client: lavresponse.NewClient(deps.Client)}
 	n.control = newControl(n)
-	hosts := lavendpoint.NewHTTPHostList(deps.Client, settings.HostList)
+	hosts := lavendpoint.NewHTTPHostList(n.client, settings.HostList)
 	n.table = lavendpoint.New(n.releases, hosts, n.engine)
 	n.control.enableSharing()
 	n.errorBudget = newErrorBudget(n)
@@ -75,7 +79,7 @@
 }
 
 func (n *Node) engine(e *lavendpoint.Endpoint) lavengine.Engine {
-	return lavengine.NewHTTP(n.deps.Client, "http://"+e.Addr.String())
+	return lavengine.NewHTTP(n.client, "http://"+e.Addr.String())
 }
 
 // Run serves requests until the context ends. Then it drains the host: the host
@@ -128,6 +132,7 @@
 	if treeErr := <-ended; !errors.Is(treeErr, context.Canceled) {
 		err = errors.CombineErrors(err, treeErr)
 	}
+	n.client.CloseIdleConnections()
 	n.deps.Logger.Info().Str("Host", n.settings.Host).Msg("stopped")
 	return err
 }
--- a/lavnode/routing.go
+++ b/lavnode/routing.go
@@ -49,7 +49,7 @@
 		return nil, err
 	})
 	return &routing{
-		pinnedClients: lavengine.NewPinnedClients(n.deps.Client),
+		pinnedClients: lavengine.NewPinnedClients(n.client),
 		cacheFeed:     cacheFeed,
 		claims:        claims,
 		credits:       credits,
--- a/lavresponse/client.go
+++ b/lavresponse/client.go
@@ -6,35 +6,86 @@
 	"net/http"
 )
 
-// NewClient returns a client like client whose connections are of the type Conn. It has connections
-// of its own. A client whose transport isn't an http.Transport is returned unchanged.
+// dialFunc opens a connection, as the field DialContext of http.Transport does.
+type dialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// NewClient returns a client like client, with connections of its own, that are of the type Conn,
+// and with Checked responses. It returns a client of NewClient or Checked unchanged. If client has
+// another transport than an http.Transport, its responses are only checked.
 func NewClient(client *http.Client) *http.Client {
-	base := client.Transport
-	if base == nil {
-		base = http.DefaultTransport
-	}
-	transport, ok := base.(*http.Transport)
+	base, ok := transportOf(client).(*http.Transport)
 	if !ok {
-		return client
+		return Checked(client)
 	}
+	base = base.Clone()
+	base.DialContext = provenDial(dialOf(base))
 	proven := *client
-	proven.Transport = newTransport(transport)
+	proven.Transport = &transport{base: base}
 	return &proven
 }
 
-// newTransport returns a copy of a transport whose connections are of the type Conn.
-func newTransport(base *http.Transport) *http.Transport {
-	transport := base.Clone()
-	dial := transport.DialContext
-	if dial == nil {
-		dial = (&net.Dialer{}).DialContext
+// Checked returns a client like client, with the same connections, that returns an error for a response
+// whose head CheckHead rejects.
+func Checked(client *http.Client) *http.Client {
+	base := transportOf(client)
+	if _, ok := base.(*transport); ok {
+		return client
 	}
-	transport.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+	checked := *client
+	checked.Transport = &transport{base: base}
+	return &checked
+}
+
+// Dial returns the function by which a client opens connections.
+func Dial(client *http.Client) func(ctx context.Context, network, address string) (net.Conn, error) {
+	base := transportOf(client)
+	if checked, ok := base.(*transport); ok {
+		base = checked.base
+	}
+	if base, ok := base.(*http.Transport); ok {
+		return dialOf(base)
+	}
+	return (&net.Dialer{}).DialContext
+}
+
+// WithoutKeepAlives returns a copy of a client of NewClient that opens a connection for each request.
+func WithoutKeepAlives(client *http.Client) *http.Client {
+	singleUse := *client
+	checked, ok := client.Transport.(*transport)
+	if !ok {
+		return &singleUse
+	}
+	if base, ok := checked.base.(*http.Transport); ok {
+		base = base.Clone()
+		base.DisableKeepAlives = true
+		singleUse.Transport = &transport{base: base}
+	}
+	return &singleUse
+}
+
+// transportOf returns the transport that a client uses.
+func transportOf(client *http.Client) http.RoundTripper {
+	if client.Transport == nil {
+		return http.DefaultTransport
+	}
+	return client.Transport
+}
+
+// dialOf returns the function by which a transport opens connections.
+func dialOf(base *http.Transport) dialFunc {
+	if base.DialContext == nil {
+		return (&net.Dialer{}).DialContext
+	}
+	return base.DialContext
+}
+
+// provenDial returns a function that opens connections of the type Conn by dial.
+func provenDial(dial dialFunc) dialFunc {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		c, err := dial(ctx, network, address)
 		if err != nil {
 			return nil, err
 		}
 		return NewConn(c), nil
 	}
-	return transport
 }
--- a/lavstore/http.go
+++ b/lavstore/http.go
@@ -13,6 +13,7 @@
 	"strings"
 	"time"
 
+	"lavenderrack.example/lavenderrack/lavresponse"
 	"lavenderrack.example/lavenderrack/lavstep"
 
 	"github.com/cockroachdb/errors"
@@ -36,7 +37,7 @@
 // NewHTTP returns a store that is reached at the given base URLs, tried in
 // order.
 func NewHTTP(client *http.Client, baseURLs ...string) *HTTP {
-	return &HTTP{client: client, baseURLs: baseURLs}
+	return &HTTP{client: lavresponse.Checked(client), baseURLs: baseURLs}
 }
 
 // invalidSession is part of the response to a write whose lease has ended.
