--- a/lavclient/client.go
+++ b/lavclient/client.go
@@ -52,12 +52,16 @@
 	failedAt map[netip.AddrPort]time.Time
 }
 
-// New returns a Client. The HTTP client must not have a timeout, because that would
-// end streams and long calls early.
+// New returns a Client that calls hosts like the given HTTP client, on connections of its
+// own. The HTTP client must not have a timeout, because that would end streams and long
+// calls early.
 func New(settings Settings, client *http.Client) *Client {
-	return &Client{settings: settings, http: lavresponse.Checked(client), failedAt: make(map[netip.AddrPort]time.Time)}
+	return &Client{settings: settings, http: lavresponse.NewClient(client), failedAt: make(map[netip.AddrPort]time.Time)}
 }
 
+// CloseIdleConnections closes the connections that no call uses.
+func (c *Client) CloseIdleConnections() { c.http.CloseIdleConnections() }
+
 // NewKey returns a unique idempotency key.
 func NewKey() string { return rand.Text() }
 
