Reject answers in whose head a name can't be that of a field, wherever answers are read

What callers saw: a server in trouble sent an answer in whose head the name of a field held a blank or a control byte. The client got it as an answer, with a body that was not the server's.

Cause: net/http refuses control bytes in names, but keeps a name with a blank as it is. "Content-Length : 3" and "Transfer-Encoding : chunked" are no fields to it, so that the body ends with its connection and the sizes of chunks are a part of it. lavconn checked names; the readers that use an http.Transport didn't.

Evidence, before this change: lavfront TestAnswerOfNoFieldNameIsNoAnswer failed for 8 of 20 heads, lavclient's for 8 of 20, lavengine TestReplyOfNoFieldNameIsBroken for 14 of 40 replies, lavnode TestAnswersOfNoFieldNameDoNotReachCallers for 16 of 40 calls through a whole system.

All these tests pass now.

--- a/lavclient/brokenanswer_test.go
+++ b/lavclient/brokenanswer_test.go
@@ -39,3 +39,8 @@
 func TestAnswerOfNoStatusIsNoAnswer(t *testing.T) {
 	assertNoAnswers(t, lavfake.AnswersOfNoStatus(lavrequest.HeaderOutcome+": Done\r\n"))
 }
+
+// TestAnswerOfNoFieldNameIsNoAnswer guards against an answer in whose head a name can't be that of a field.
+func TestAnswerOfNoFieldNameIsNoAnswer(t *testing.T) {
+	assertNoAnswers(t, lavfake.AnswersOfNoFieldName(lavrequest.HeaderOutcome+": Done\r\n"))
+}
--- a/lavengine/brokenreply_test.go
+++ b/lavengine/brokenreply_test.go
@@ -42,3 +42,9 @@
 func TestReplyOfNoStatusIsBroken(t *testing.T) {
 	assertRepliesAreBroken(t, lavfake.AnswersOfNoStatus(namesIncarnation))
 }
+
+// TestReplyOfNoFieldNameIsBroken guards against an answer in whose head a name can't be that of a field, and that
+// counts as an engine's success.
+func TestReplyOfNoFieldNameIsBroken(t *testing.T) {
+	assertRepliesAreBroken(t, lavfake.AnswersOfNoFieldName(namesIncarnation))
+}
--- a/lavfake/brokenanswer.go
+++ b/lavfake/brokenanswer.go
@@ -18,6 +18,21 @@
 	return answers
 }
 
+// AnswersOfNoFieldName returns answers in whose heads the name of a field holds a blank or a control byte, also in an
+// informational head before them. Each head contains further lines, which end with CRLF.
+func AnswersOfNoFieldName(lines string) []string {
+	const success, interim = "HTTP/1.1 200 x\r\n", "HTTP/1.1 103 x\r\n"
+	var answers []string
+	for _, field := range []string{
+		"A B: x", "A : x", "A\t: x", "A\x01B: x", "A\x7fB: x", "A\x00B: x", "Caf\xe9: x", "A(B): x", "Location B: /x",
+	} {
+		answers = append(answers, success+field+"\r\n"+lines+bodyOfTwo, interim+field+"\r\n\r\n"+success+lines+bodyOfTwo)
+	}
+	return append(answers,
+		success+lines+"Content-Length : 2\r\n\r\n{} and more",
+		success+lines+"Transfer-Encoding : chunked\r\n\r\n2\r\n{}\r\n0\r\n\r\n")
+}
+
 // RespondRaw returns a handler that writes the bytes of an answer as they are, and closes the connection.
 func RespondRaw(answer string) http.HandlerFunc {
 	return func(w http.ResponseWriter, _ *http.Request) {
--- a/lavfront/serviceanswer_test.go
+++ b/lavfront/serviceanswer_test.go
@@ -151,6 +151,11 @@
 // TestAnswerOfNoStatusIsNoAnswer guards against an answer whose status is none.
 func TestAnswerOfNoStatusIsNoAnswer(t *testing.T) { assertNoAnswers(t, lavfake.AnswersOfNoStatus("")) }
 
+// TestAnswerOfNoFieldNameIsNoAnswer guards against an answer in whose head a name can't be that of a field.
+func TestAnswerOfNoFieldNameIsNoAnswer(t *testing.T) {
+	assertNoAnswers(t, lavfake.AnswersOfNoFieldName(""))
+}
+
 // assertNoAnswers checks that none of the answers counts as that of a service.
 func assertNoAnswers(t *testing.T, answers []string) {
 	t.Helper()
--- a/lavnode/brokenanswer_test.go
+++ b/lavnode/brokenanswer_test.go
@@ -49,3 +49,9 @@
 func TestAnswersOfNoStatusDoNotReachCallers(t *testing.T) {
 	assertNoAnswerReachesCallers(t, lavfake.AnswersOfNoStatus(""))
 }
+
+// TestAnswersOfNoFieldNameDoNotReachCallers guards against an answer of a server in trouble in whose head a name can't be that of
+// a field.
+func TestAnswersOfNoFieldNameDoNotReachCallers(t *testing.T) {
+	assertNoAnswerReachesCallers(t, lavfake.AnswersOfNoFieldName(""))
+}
--- a/lavresponse/head.go
+++ b/lavresponse/head.go
@@ -23,6 +23,6 @@
 	case status == http.StatusSwitchingProtocols:
 		return errors.New("response switches to another protocol, which was not requested")
 	default:
-		return nil
+		return checkFieldNames(response.Header)
 	}
 }
