Limit what a host holds of all responses together on serve (bytes without end)

What operators saw: a faulty server sent bytes that were no answer, without end, in a head or in a body. The machine that had called it kept them all and ran out of memory, and the requests of other clients on it ended with it (LOST).

Causes: an http.Transport reads heads of 10 MB, the pin's connection heads of any length. Bodies were limited each (8 MiB, 32 MiB of the store, 1 MiB for a line), but not together. The ledger kept an order's whole body for ten minutes beside the 4 KiB that it stores, and lavclient limited the lines of an event, but not their number.

Why this works: heads have at most 64 KiB, after at most 16 informational ones. What is held of responses beyond 32 KiB each comes from a budget of 16 MiB for all of a host's services and engines, of which one reply without end takes no more than any other. The store has its own, of 12 MiB, so that control doesn't depend on what services send; a listing of more was allowed 32. Without memory a lookup fails and is asked for again. An order's answer is read to its end, and the caller gets the beginning, marked as truncated. A caller who accepts less than 64 KiB of an answer in 20 s is cut off, as on streams, since the answer is held for him.

--- a/cmd/lavenderrack/entry.go
+++ b/cmd/lavenderrack/entry.go
@@ -14,6 +14,7 @@
 	"lavenderrack.example/lavenderrack/lavconn"
 	"lavenderrack.example/lavenderrack/lavhost"
 	"lavenderrack.example/lavenderrack/lavreload"
+	"lavenderrack.example/lavenderrack/lavresponse"
 	"lavenderrack.example/lavenderrack/platform"
 
 	"github.com/cockroachdb/errors"
@@ -133,9 +134,10 @@
 			}
 			return lavconn.Dial(ctx, addrPort)
 		},
-		MaxIdleConnsPerHost: 2,
-		IdleConnTimeout:     10 * time.Second,
-		DisableCompression:  true,
+		MaxIdleConnsPerHost:    2,
+		IdleConnTimeout:        10 * time.Second,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: lavresponse.MaxHeadBytes,
 	}
 }
 
--- a/cmd/lavenderrack/serve.go
+++ b/cmd/lavenderrack/serve.go
@@ -10,6 +10,7 @@
 
 	"lavenderrack.example/lavenderrack/lavjson"
 	"lavenderrack.example/lavenderrack/lavnode"
+	"lavenderrack.example/lavenderrack/lavresponse"
 	"lavenderrack.example/lavenderrack/lavsettings"
 
 	"github.com/cockroachdb/errors"
@@ -95,8 +96,9 @@
 func newHostClient(settings lavsettings.Settings) *http.Client {
 	dialer := &net.Dialer{Timeout: time.Duration(settings.DialTimeout), KeepAlive: keepAliveInterval}
 	return &http.Client{Transport: &http.Transport{
-		DialContext:         dialer.DialContext,
-		MaxIdleConnsPerHost: maxIdleConnsPerHost,
-		IdleConnTimeout:     idleConnTimeout,
+		DialContext:            dialer.DialContext,
+		MaxIdleConnsPerHost:    maxIdleConnsPerHost,
+		IdleConnTimeout:        idleConnTimeout,
+		MaxResponseHeaderBytes: lavresponse.MaxHeadBytes,
 	}}
 }
--- a/lavclient/event.go
+++ b/lavclient/event.go
@@ -6,10 +6,19 @@
 	"strings"
 
 	"lavenderrack.example/lavenderrack/lavrequest"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	// maxLineBytes limits the length of a line in a stream.
+	maxLineBytes = 1 << 20
+	// maxEventBytes limits the data of an event, which may have several lines.
+	maxEventBytes = 1 << 20
 )
 
-// maxLineBytes limits the length of a line in a stream.
-const maxLineBytes = 1 << 20
+// errEventTooLong means that the data of an event exceeds maxEventBytes.
+var errEventTooLong = errors.New("event is too long")
 
 // event is a server-sent event.
 type event struct {
@@ -23,6 +32,8 @@
 // eventReader parses a stream of server-sent events.
 type eventReader struct {
 	lines *bufio.Scanner
+	// data is that of the event that is being read.
+	data []byte
 	// onLine is called for each line, including comments and blank lines.
 	onLine func()
 }
@@ -38,17 +49,22 @@
 // is dropped.
 func (r *eventReader) next() (event, error) {
 	var e event
+	r.data = r.data[:0]
 	for r.lines.Scan() {
 		r.onLine()
 		line := r.lines.Text()
 		if line == "" {
-			if e.data != "" {
+			if len(r.data) > 0 {
+				e.data = string(r.data)
 				return e, nil
 			}
 			e = event{}
 			continue
 		}
-		e.parseLine(line)
+		r.parseLine(&e, line)
+		if len(r.data) > maxEventBytes {
+			return event{}, errEventTooLong
+		}
 	}
 	if err := r.lines.Err(); err != nil {
 		return event{}, err
@@ -59,10 +75,10 @@
 // resumeTokenPrefix is the start of a comment line that contains a new resume token.
 const resumeTokenPrefix = ": " + lavrequest.HeaderResume + " "
 
-// parseLine adds one line to the event. A line that starts with a colon is a comment.
+// parseLine adds one line to an event. A line that starts with a colon is a comment.
 // Comments other than resume tokens are ignored; they are heartbeats that show that
 // the connection is alive.
-func (e *event) parseLine(line string) {
+func (r *eventReader) parseLine(e *event, line string) {
 	if token, ok := strings.CutPrefix(line, resumeTokenPrefix); ok {
 		e.resumeToken = token
 		return
@@ -75,9 +91,9 @@
 	case "event":
 		e.name = value
 	case "data":
-		if e.data != "" {
-			e.data += "\n"
+		if len(r.data) > 0 {
+			r.data = append(r.data, '\n')
 		}
-		e.data += value
+		r.data = append(r.data, value...)
 	}
 }
--- a/lavclient/event_test.go
+++ b/lavclient/event_test.go
@@ -21,6 +21,15 @@
 	lavassert.ErrorIs(t, err, io.ErrUnexpectedEOF)
 }
 
+// TestEventWithoutEndIsNotKept guards against a client that runs out of memory, since an event never ends.
+func TestEventWithoutEndIsNotKept(t *testing.T) {
+	endless := strings.NewReader(strings.Repeat("data: x\n", 4<<20))
+	r := newEventReader(endless, func() {})
+	_, err := r.next()
+	lavassert.ErrorIs(t, err, errEventTooLong)
+	lavassert.AtLeast(t, "bytes left unread", endless.Len(), 1<<20)
+}
+
 func FuzzEvents(f *testing.F) {
 	for _, seed := range []string{"", "\n", "data: a\n\n", "id: 1\ndata: {}\n\ndata: [DONE]\n\n", "data", ":\n\n", "data: a\r\n\r\n", "event: error\ndata: \xff\n\n"} {
 		f.Add([]byte(seed))
--- a/lavconn/limit.go
+++ b/lavconn/limit.go
@@ -3,16 +3,18 @@
 import (
 	"io"
 
+	"lavenderrack.example/lavenderrack/lavresponse"
+
 	"github.com/cockroachdb/errors"
 )
 
 // An endpoint in trouble may send bytes that are no response without end. The bytes of
-// headers, and of responses to other requests, are therefore limited. The bodies of
+// heads, and of responses to other requests, are therefore limited. The bodies of
 // responses are limited by those who read them.
 const (
 	// maxHeadBytes is the maximum size of the heads of one response, including
 	// informational ones before it.
-	maxHeadBytes = 64 << 10
+	maxHeadBytes = lavresponse.MaxHeadBytes
 	// maxUnmatchedBytes is the maximum size of the body of a response to
 	// another request.
 	maxUnmatchedBytes = 1 << 20
--- a/lavengine/events.go
+++ b/lavengine/events.go
@@ -1,7 +1,6 @@
 package lavengine
 
 import (
-	"bufio"
 	"encoding/json"
 	"io"
 	"net/http"
@@ -9,6 +8,7 @@
 	"strings"
 
 	"lavenderrack.example/lavenderrack/lavrequest"
+	"lavenderrack.example/lavenderrack/lavresponse"
 	"lavenderrack.example/lavenderrack/lavstep"
 
 	"github.com/cockroachdb/errors"
@@ -32,7 +32,7 @@
 // implements Stream and StreamInfo.
 type eventStream struct {
 	body  io.ReadCloser
-	lines *bufio.Scanner
+	lines *lavresponse.Lines
 	id    lavrequest.ID
 	// incarnation is taken from the header of the response.
 	incarnation Incarnation
@@ -46,12 +46,15 @@
 	classifyError func(error) error
 }
 
-func newEventStream(response *http.Response, id lavrequest.ID, offset int, peer string, classifyError func(error) error) *eventStream {
-	lines := bufio.NewScanner(response.Body)
-	lines.Buffer(make([]byte, 0, 4096), maxLineBytes)
+func (h *HTTP) newEventStream(response *http.Response, id lavrequest.ID, offset int, classifyError func(error) error) *eventStream {
 	return &eventStream{
-		body: response.Body, lines: lines, id: id, nextOffset: offset, peer: peer, classifyError: classifyError,
-		incarnation: Incarnation(response.Header.Get(HeaderIncarnation)),
+		body:          response.Body,
+		lines:         h.replies.Lines(response.Body, maxLineBytes),
+		id:            id,
+		incarnation:   Incarnation(response.Header.Get(HeaderIncarnation)),
+		nextOffset:    offset,
+		peer:          h.baseURL,
+		classifyError: classifyError,
 	}
 }
 
@@ -69,8 +72,13 @@
 		return Frame{}, io.EOF
 	}
 	end, hasEnd, failed := 0, false, false
-	for e.lines.Scan() {
-		line := e.lines.Text()
+	for {
+		text, err := e.lines.Next()
+		if err != nil {
+			return Frame{}, e.streamError(unexpected(err))
+		}
+		line := string(text)
+		e.lines.Release()
 		if line == "" {
 			hasEnd = false
 			continue
@@ -102,7 +110,14 @@
 			hasEnd = false
 		}
 	}
-	return Frame{}, e.streamError(errors.CombineErrors(e.lines.Err(), io.ErrUnexpectedEOF))
+}
+
+// unexpected returns the error of a stream that ends before its final frame.
+func unexpected(err error) error {
+	if errors.Is(err, io.EOF) {
+		return io.ErrUnexpectedEOF
+	}
+	return err
 }
 
 // parseFrame decodes a frame and reports whether it is the next one of this
--- a/lavengine/http.go
+++ b/lavengine/http.go
@@ -39,14 +39,17 @@
 	// closeIdle closes idle connections. It is called when a connection was
 	// silent, because the idle ones may have failed too.
 	closeIdle func()
+	// replies is what the replies and lines that are held may take together.
+	replies *lavresponse.Budget
 }
 
 // NewHTTP returns a client of the engine at the URL base, such as
 // http://10.0.0.1:8000. The HTTP client must not set a timeout, because a stream
-// stays open until its answer ends.
+// stays open until its answer ends. Engines share connections, and the memory for
+// their replies, if the HTTP client is one of lavresponse.NewClient.
 func NewHTTP(client *http.Client, base string) *HTTP {
-	client = lavresponse.Checked(client)
-	return &HTTP{client: client, baseURL: base, closeIdle: client.CloseIdleConnections}
+	client = lavresponse.NewClient(client)
+	return &HTTP{client: client, baseURL: base, closeIdle: client.CloseIdleConnections, replies: lavresponse.BudgetOf(client)}
 }
 
 // Submit implements Engine.
@@ -170,10 +173,11 @@
 // readReply reads the body of a success into out and closes it.
 func (h *HTTP) readReply(step lavstep.Step, response *http.Response, out any) error {
 	defer func() { _ = response.Body.Close() }()
-	text, err := io.ReadAll(io.LimitReader(response.Body, maxReplyBytes))
+	reply, err := h.replies.ReadAll(response.Body, maxReplyBytes)
 	if err == nil {
-		err = decodeReply(text, out)
+		err = decodeReply(reply.Bytes, out)
 	}
+	reply.Release()
 	return lavstep.Wrap(errors.Mark(err, ErrBroken), step, h.baseURL)
 }
 
--- a/lavengine/pin.go
+++ b/lavengine/pin.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"net/netip"
@@ -53,6 +54,8 @@
 	// unpinned is the client for calls that may reach any incarnation.
 	unpinned *http.Client
 	dial     func(ctx context.Context, network, address string) (net.Conn, error)
+	// replies is what the replies of all engines that are held may take together.
+	replies *lavresponse.Budget
 
 	mu      sync.Mutex
 	clients map[netip.AddrPort]*pinnedClient
@@ -67,9 +70,11 @@
 
 // NewPinnedClients returns pinned clients that dial in the same way as client.
 func NewPinnedClients(client *http.Client) *PinnedClients {
+	client = lavresponse.NewClient(client)
 	return &PinnedClients{
-		unpinned: lavresponse.Checked(client),
+		unpinned: client,
 		dial:     lavresponse.Dial(client),
+		replies:  lavresponse.BudgetOf(client),
 		clients:  make(map[netip.AddrPort]*pinnedClient),
 	}
 }
@@ -126,7 +131,7 @@
 		MaxIdleConnsPerHost: pinMaxIdlePerHost,
 		IdleConnTimeout:     pinIdleTimeout,
 	}
-	return &pinnedClient{pin: pin, client: lavresponse.Checked(&http.Client{Transport: transport})}
+	return &pinnedClient{pin: pin, client: lavresponse.NewClient(&http.Client{Transport: transport})}
 }
 
 // dialVerified opens a connection and checks that the engine matches the pin.
@@ -135,7 +140,7 @@
 	if err != nil {
 		return nil, err
 	}
-	report, err := fetchReport(conn, address)
+	report, err := fetchReport(conn, address, p.replies)
 	switch {
 	case err != nil:
 	case report.Incarnation != pin.Incarnation:
@@ -152,8 +157,9 @@
 }
 
 // fetchReport requests a load report on a new connection. The connection can be
-// used for other requests afterwards.
-func fetchReport(conn net.Conn, address string) (LoadReport, error) {
+// used for other requests afterwards. The report is taken from the budget replies while
+// it is read.
+func fetchReport(conn net.Conn, address string, replies *lavresponse.Budget) (LoadReport, error) {
 	var report LoadReport
 	if err := conn.SetDeadline(time.Now().Add(pinCheckTimeout)); err != nil {
 		return report, err
@@ -165,22 +171,27 @@
 	if err := request.Write(conn); err != nil {
 		return report, err
 	}
-	reader := bufio.NewReader(conn)
+	received := &io.LimitedReader{R: conn, N: lavresponse.MaxHeadBytes}
+	reader := bufio.NewReader(received)
 	response, err := http.ReadResponse(reader, request)
 	if err != nil {
 		return report, err
 	}
 	defer func() { _ = response.Body.Close() }()
+	// ReadAll limits the body.
+	received.N = math.MaxInt64
 	if err := lavresponse.CheckHead(response); err != nil {
 		return report, err
 	}
 	if response.StatusCode != http.StatusOK {
 		return report, errors.Newf("load report has the status %d", response.StatusCode)
 	}
-	if err := json.NewDecoder(io.LimitReader(response.Body, maxReplyBytes)).Decode(&report); err != nil {
+	text, err := replies.ReadAll(response.Body, maxReplyBytes)
+	defer text.Release()
+	if err != nil {
 		return report, err
 	}
-	if _, err := io.Copy(io.Discard, response.Body); err != nil {
+	if err := json.Unmarshal(text.Bytes, &report); err != nil {
 		return report, err
 	}
 	if reader.Buffered() > 0 || response.Close {
@@ -201,8 +212,8 @@
 func NewPinnedEngine(pins *PinnedClients, addr netip.AddrPort, pin Pin) *PinnedEngine {
 	base := "http://" + addr.String()
 	return &PinnedEngine{
-		Engine:    &HTTP{client: pins.unpinned, baseURL: base, closeIdle: pins.CloseIdleConnections},
-		submitter: &HTTP{client: pins.Client(time.Now(), addr, pin), baseURL: base, closeIdle: pins.CloseIdleConnections},
+		Engine:    &HTTP{client: pins.unpinned, baseURL: base, closeIdle: pins.CloseIdleConnections, replies: pins.replies},
+		submitter: &HTTP{client: pins.Client(time.Now(), addr, pin), baseURL: base, closeIdle: pins.CloseIdleConnections, replies: pins.replies},
 	}
 }
 
--- a/lavengine/silence.go
+++ b/lavengine/silence.go
@@ -70,7 +70,7 @@
 	response.Body = &idleTimeoutBody{body: response.Body, timer: timer, cancel: cancel, beforeRead: func() error {
 		return lavstep.Failpoint(ctx, lavstep.EngineStream, h.baseURL)
 	}}
-	return newEventStream(response, id, offset, h.baseURL, func(err error) error {
+	return h.newEventStream(response, id, offset, func(err error) error {
 		return h.markSilent(ctx, lavstep.EngineStream, err)
 	}), nil
 }
--- a/lavfront/service.go
+++ b/lavfront/service.go
@@ -49,6 +49,8 @@
 	key      string
 	body     []byte
 	timeout  time.Duration
+	// held is the response of the service while it is in memory.
+	held heldResponse
 }
 
 // handleServiceCall runs one call to a plain service. A call that is not repeatable
@@ -74,6 +76,7 @@
 func (f *Front) handleOrder(w http.ResponseWriter, r *http.Request, c *serviceCall) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(r.Context()), c.timeout)
 	defer cancel()
+	defer c.held.release()
 	call := lavledger.Call{Customer: c.customer, Key: c.key, Fingerprint: c.fingerprint()}
 	result, err := f.config.Ledger.Run(ctx, call, func(ctx context.Context) (lavledger.Answer, error) {
 		return f.callWithRetries(ctx, c, func(err error) bool { return errors.Is(err, lavledger.ErrNotSent) })
@@ -89,6 +92,7 @@
 func (f *Front) handleLookup(w http.ResponseWriter, r *http.Request, c *serviceCall) {
 	ctx, cancel := context.WithTimeout(r.Context(), c.timeout)
 	defer cancel()
+	defer c.held.release()
 	answer, err := f.callWithRetries(ctx, c, func(error) bool { return true })
 	if err != nil {
 		outcome := lavrequest.OutcomeUnknown
@@ -248,7 +252,7 @@
 			w.Header().Set(lavrequest.HeaderTruncated, "true")
 		}
 		w.WriteHeader(answer.Status)
-		_, _ = w.Write(answer.Body)
+		writeBody(w, answer.Body)
 	case lavrequest.OutcomeNotRun:
 		f := &failure{
 			status: http.StatusServiceUnavailable, outcome: result.Outcome, retryAfter: retryAfterTransient,
--- a/lavfront/serviceanswer_test.go
+++ b/lavfront/serviceanswer_test.go
@@ -171,3 +171,8 @@
 		})
 	}
 }
+
+// lookup returns a call that may be repeated.
+func lookup() *serviceCall {
+	return &serviceCall{service: lavrelease.Service{Name: "s"}, method: http.MethodGet, path: "/", header: http.Header{}, timeout: 10 * time.Second}
+}
--- a/lavfront/serviceclient.go
+++ b/lavfront/serviceclient.go
@@ -24,10 +24,6 @@
 // maxResponseBytes is the maximum size of the response body of a plain service.
 const maxResponseBytes = 8 << 20
 
-// errResponseTooLong means that the response body of a service exceeds
-// maxResponseBytes.
-var errResponseTooLong = errors.New("the service's answer is too long")
-
 // serviceClient sends calls to the endpoints of plain services.
 type serviceClient struct {
 	endpoints interface{ Snapshot() *lavendpoint.Snapshot }
@@ -36,6 +32,8 @@
 	// failure to connect proves that nothing was sent.
 	keepAliveClient *http.Client
 	singleUseClient *http.Client
+	// responses is what the responses that are held may take together.
+	responses *lavresponse.Budget
 
 	mu sync.Mutex
 	// inFlight is the number of calls in progress by endpoint name.
@@ -45,8 +43,15 @@
 func newServiceClient(endpoints interface{ Snapshot() *lavendpoint.Snapshot }, client *http.Client) *serviceClient {
 	// Redirects are not followed here but returned to the caller.
 	noRedirects := *lavresponse.NewClient(client)
+	responses := lavresponse.BudgetOf(&noRedirects)
 	noRedirects.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
-	return &serviceClient{endpoints: endpoints, keepAliveClient: &noRedirects, singleUseClient: lavresponse.WithoutKeepAlives(&noRedirects), inFlight: make(map[string]int)}
+	return &serviceClient{
+		endpoints:       endpoints,
+		keepAliveClient: &noRedirects,
+		singleUseClient: lavresponse.WithoutKeepAlives(&noRedirects),
+		responses:       responses,
+		inFlight:        make(map[string]int),
+	}
 }
 
 // call sends the call once to one endpoint and also returns the endpoint's name. The
@@ -90,16 +95,33 @@
 		return lavledger.Answer{}, connected.Load(), err
 	}
 	defer func() { _ = response.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes+1))
-	if err == nil && len(body) > maxResponseBytes {
-		err = errResponseTooLong
+	body, truncated, err := s.readBody(c, response)
+	if err != nil {
+		return lavledger.Answer{}, true, err
 	}
 	return lavledger.Answer{
 		Status:      response.StatusCode,
 		ContentType: response.Header.Get("Content-Type"),
 		Header:      c.callerHeader(response.Header),
 		Body:        body,
-	}, true, err
+		Truncated:   truncated,
+	}, true, nil
+}
+
+// readBody reads the body of a response, which is held for the call. If memory is short, a repeatable
+// call fails. Of the response to another one, which can't be asked for again, only the beginning is kept
+// then, as for a repetition of the call.
+func (s *serviceClient) readBody(c *serviceCall, response *http.Response) (body []byte, truncated bool, err error) {
+	read, err := s.responses.ReadAll(response.Body, maxResponseBytes)
+	c.held.replace(read)
+	switch {
+	case err == nil:
+		return read.Bytes, false, nil
+	case errors.Is(err, lavresponse.ErrOverBudget) && !c.isRepeatable():
+		return read.Bytes, true, read.SkipRest(response.Body, maxResponseBytes)
+	default:
+		return nil, false, err
+	}
 }
 
 // newRequest returns the HTTP request for a call. Its body can be read only once and
--- a/lavledger/call.go
+++ b/lavledger/call.go
@@ -1,6 +1,7 @@
 package lavledger
 
 import (
+	"bytes"
 	"context"
 	"crypto/sha256"
 	"net/http"
@@ -40,7 +41,8 @@
 	// passed on to the caller.
 	Header http.Header
 	Body   []byte
-	// Truncated is true if the ledger stored only the beginning of the body.
+	// Truncated is true if Body is only the beginning of the body, since there was
+	// no memory for the rest, or since the ledger stored no more.
 	Truncated bool
 }
 
@@ -49,7 +51,8 @@
 // the headers are kept unchanged.
 func (a Answer) truncatedForStorage() Answer {
 	if len(a.Body) > MaxStoredBodyBytes {
-		a.Body = a.Body[:MaxStoredBodyBytes:MaxStoredBodyBytes]
+		// A part of the slice would keep the whole body in memory.
+		a.Body = bytes.Clone(a.Body[:MaxStoredBodyBytes])
 		a.Truncated = true
 	}
 	return a
--- a/lavledger/ledger_test.go
+++ b/lavledger/ledger_test.go
@@ -140,7 +140,11 @@
 			first, err := s.a.Run(t.Context(), call, long)
 			lavassert.NoError(t, err)
 			lavassert.Equal(t, "body bytes of the first answer", len(first.Answer.Body), 2*lavledger.MaxStoredBodyBytes)
+			first.Answer.Body[0] = 'y'
 			lavassert.NoError(t, s.a.Flush(t.Context()))
+			known, err := s.a.Run(t.Context(), call, long)
+			lavassert.NoError(t, err)
+			lavassert.Equal(t, "first byte that is stored, of another slice", string(known.Answer.Body[:1]), "x")
 			again, err := s.b.Run(t.Context(), call, long)
 			lavassert.NoError(t, err)
 			lavassert.Equal(t, "body bytes of the repeated answer", len(again.Answer.Body), lavledger.MaxStoredBodyBytes)
--- a/lavrelay/buffer.go
+++ b/lavrelay/buffer.go
@@ -2,11 +2,9 @@
 
 import (
 	"io"
-	"sync/atomic"
 
 	"lavenderrack.example/lavenderrack/lavpressure"
-
-	"github.com/cockroachdb/errors"
+	"lavenderrack.example/lavenderrack/lavresponse"
 )
 
 const (
@@ -22,21 +20,6 @@
 	maxTotalBuffered = 24 << 20
 )
 
-// byteBudget is a number of bytes that several responses share.
-type byteBudget struct{ left atomic.Int64 }
-
-// add returns bytes to the budget.
-func (b *byteBudget) add(n int64) { b.left.Add(n) }
-
-// take takes bytes from the budget, or reports false if there are too few.
-func (b *byteBudget) take(n int64) bool {
-	if b.left.Add(-n) >= 0 {
-		return true
-	}
-	b.left.Add(n)
-	return false
-}
-
 // countedReader counts the bytes that it reads in a hold.
 type countedReader struct {
 	io.Reader
@@ -65,7 +48,7 @@
 	if t.call.Hold.Short() {
 		first = shortBufferBytes
 	}
-	body, err = readBlocks(counted, first, t.call.Hold.MayBuffer)
+	body, _, err = lavresponse.ReadBlocks(counted, first, maxBufferedBytes, t.call.Hold.MayBuffer)
 	return body, counted.release, err
 }
 
@@ -73,9 +56,9 @@
 // up. The caller must call release once it no longer needs the bytes.
 func (r *Relay) readBuffered(response io.Reader) (body []byte, release func(), err error) {
 	taken := int64(0)
-	release = func() { r.buffers.add(taken) }
-	body, err = readBlocks(response, freeBufferBytes, func(n int64) bool {
-		if !r.buffers.take(n) {
+	release = func() { r.buffers.Add(taken) }
+	body, _, err = lavresponse.ReadBlocks(response, freeBufferBytes, maxBufferedBytes, func(n int64) bool {
+		if !r.buffers.Take(n) {
 			return false
 		}
 		taken += n
@@ -83,23 +66,3 @@
 	})
 	return body, release, err
 }
-
-// readBlocks reads a response up to maxBufferedBytes, or until mayRead forbids a further block of a
-// number of bytes. The first block is read in any case.
-func readBlocks(response io.Reader, first int, mayRead func(n int64) bool) (body []byte, err error) {
-	for len(body) < maxBufferedBytes {
-		size := max(first, len(body))
-		if len(body) > 0 && !mayRead(int64(size)) {
-			return body, nil
-		}
-		next, err := io.ReadAll(io.LimitReader(response, int64(size)))
-		body = append(body, next...)
-		if err != nil {
-			return nil, errors.Wrap(err, "buffer response")
-		}
-		if len(next) < size {
-			break
-		}
-	}
-	return body, nil
-}
--- a/lavrelay/endless_test.go
+++ b/lavrelay/endless_test.go
@@ -12,6 +12,7 @@
 
 	"lavenderrack.example/lavenderrack/lavassert"
 	"lavenderrack.example/lavenderrack/lavconfig"
+	"lavenderrack.example/lavenderrack/lavresponse"
 	"lavenderrack.example/lavenderrack/platform/standin"
 )
 
@@ -68,27 +69,16 @@
 	return strings.TrimLeft(events, "\n") == standin.EventsUpTo(standin.StreamEvents)
 }
 
-// TestByteBudget checks the budget that keeps many large responses at once from filling the
-// memory of the host.
-func TestByteBudget(t *testing.T) {
-	budget := byteBudget{}
-	budget.add(1000)
-	lavassert.True(t, "first response", budget.take(600))
-	lavassert.True(t, "no room for the second one", !budget.take(600))
-	budget.add(600)
-	lavassert.True(t, "room once the first one has ended", budget.take(600))
-}
-
 // TestBufferedBytesAreReturned checks that responses which use up the budget are forwarded whole, and
 // that the budget is whole again afterwards.
 func TestBufferedBytesAreReturned(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		large := strings.Repeat("x", 1<<20)
 		b := newFixture(standin.Respond(200, large))
-		b.relay.buffers.left.Store(3 * freeBufferBytes)
+		b.relay.buffers = lavresponse.NewBudget(3 * freeBufferBytes)
 		out := b.serve(context.Background(), b.call(lavconfig.KindSafe))
 		lavassert.Equal(t, "bytes of the body", out.Body.Len(), len(large))
-		lavassert.Equal(t, "budget afterwards", b.relay.buffers.left.Load(), 3*freeBufferBytes)
+		lavassert.Equal(t, "budget afterwards", b.relay.buffers.Left(), 3*freeBufferBytes)
 		b.relay.pool.Sweep(func(netip.AddrPort) bool { return false })
 	})
 }
--- /dev/null
+++ b/lavrelay/endlessmemory_test.go
@@ -0,0 +1,69 @@
+package lavrelay
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"lavenderrack.example/lavenderrack/lavassert"
+	"lavenderrack.example/lavenderrack/lavconfig"
+	"lavenderrack.example/lavenderrack/lavconn"
+	"lavenderrack.example/lavenderrack/lavfake"
+	"lavenderrack.example/lavenderrack/platform/standin"
+)
+
+const (
+	// hostBytes is the memory of a host.
+	hostBytes = 128_000_000
+	// callsAtOnce is how many calls are answered without end at the same time.
+	callsAtOnce = 200
+)
+
+// discard is a caller who keeps nothing of an answer.
+type discard struct{ header http.Header }
+
+func (d discard) Header() http.Header       { return d.header }
+func (discard) Write(p []byte) (int, error) { return len(p), nil }
+func (discard) WriteHeader(int)             {}
+func (discard) Flush()                      {}
+
+// TestEndlessResponsesLeaveMemory guards against a host that runs out of memory, since it keeps answers that don't end.
+func TestEndlessResponsesLeaveMemory(t *testing.T) {
+	identity := standin.IdentityLines("id")
+	for _, endless := range lavfake.EndlessAnswers(identity) {
+		t.Run(endless.Name, func(t *testing.T) { assertMemoryIsLeft(t, lavconfig.KindUnsafe, endless) })
+	}
+	for _, endless := range lavfake.EndlessAnswers(identity + standin.EventsHeader) {
+		t.Run(endless.Name+"/Stream", func(t *testing.T) { assertMemoryIsLeft(t, lavconfig.KindStreaming, endless) })
+	}
+}
+
+// assertMemoryIsLeft checks how much memory calls take that get the same answer at once.
+func assertMemoryIsLeft(t *testing.T, kind lavconfig.RouteKind, endless lavfake.EndlessAnswer) {
+	t.Helper()
+	b := newFixtureNow(func(c net.Conn, _ *http.Request) { endless.Write(c) })
+	b.relay.pool = lavconn.New(b.endpoints.DialSocket, 2)
+	peak := lavassert.HeapPeak(func() {
+		var running sync.WaitGroup
+		for range callsAtOnce {
+			running.Go(func() { b.serveDiscarded(kind) })
+		}
+		running.Wait()
+	})
+	t.Logf("peak of the heap: %d bytes", peak)
+	lavassert.AtMost(t, "peak of the heap in bytes", peak, hostBytes)
+	lavassert.Equal(t, "calls", len(b.endpoints.Requests()), callsAtOnce)
+	b.closePool()
+}
+
+// serveDiscarded serves a call whose caller keeps nothing, and which ends after a second.
+func (b *fixture) serveDiscarded(kind lavconfig.RouteKind) {
+	// The relay aborts the connection of a caller who has a part of the answer.
+	defer func() { _ = recover() }()
+	c := b.call(kind)
+	c.Deadline = c.Arrived.Add(time.Second)
+	b.relay.Serve(context.Background(), discard{http.Header{}}, c)
+}
--- a/lavrelay/relay.go
+++ b/lavrelay/relay.go
@@ -11,6 +11,7 @@
 	"lavenderrack.example/lavenderrack/lavconn"
 	"lavenderrack.example/lavenderrack/lavevent"
 	"lavenderrack.example/lavenderrack/lavfleet"
+	"lavenderrack.example/lavenderrack/lavresponse"
 	"lavenderrack.example/lavenderrack/platform"
 
 	"github.com/cockroachdb/errors"
@@ -51,7 +52,7 @@
 	departure Departure
 	metrics   metrics
 	// buffers is what responses may still buffer.
-	buffers byteBudget
+	buffers *lavresponse.Budget
 	// unknownNames are the names of statements that this version doesn't know.
 	unknownNames sync.Map
 	// reservationLease is the lease duration that is requested for reservations, in
@@ -78,9 +79,9 @@
 		scheduler: noScheduler{},
 		departure: noDeparture{},
 		metrics:   newMetrics(scope),
+		buffers:   lavresponse.NewBudget(maxTotalBuffered),
 	}
 	r.reservationLease.Store(int64(reservationLease))
-	r.buffers.add(maxTotalBuffered)
 	return r
 }
 
--- a/lavrequest/header.go
+++ b/lavrequest/header.go
@@ -15,8 +15,9 @@
 	// HeaderResume is the token with which the caller can resume a broken
 	// stream.
 	HeaderResume = "Lav-Resume"
-	// HeaderTruncated is "true" if the answer to a repeated call contains only
-	// the beginning of the body, because the whole body was too long to store.
+	// HeaderTruncated is "true" if the answer contains only the beginning of the
+	// body, because the whole body was too long to store for a repeated call, or
+	// because the host had no memory for it.
 	HeaderTruncated = "Lav-Truncated"
 	// HeaderIdempotencyKey identifies a call. Calls of a customer with the same
 	// key are the same call.
--- a/lavresponse/client.go
+++ b/lavresponse/client.go
@@ -10,8 +10,9 @@
 type dialFunc func(ctx context.Context, network, address string) (net.Conn, error)
 
 // NewClient returns a client like client, with connections of its own, that are of the type Conn,
-// and with Checked responses. It returns a client of NewClient or Checked unchanged. If client has
-// another transport than an http.Transport, its responses are only checked.
+// and with Checked responses, whose heads have at most MaxHeadBytes unless client has another limit.
+// It returns a client of NewClient or Checked unchanged. If client has another transport than an
+// http.Transport, its responses are only checked.
 func NewClient(client *http.Client) *http.Client {
 	base, ok := transportOf(client).(*http.Transport)
 	if !ok {
@@ -19,8 +20,11 @@
 	}
 	base = base.Clone()
 	base.DialContext = provenDial(dialOf(base))
+	if base.MaxResponseHeaderBytes == 0 {
+		base.MaxResponseHeaderBytes = MaxHeadBytes
+	}
 	proven := *client
-	proven.Transport = &transport{base: base}
+	proven.Transport = newTransport(base)
 	return &proven
 }
 
@@ -32,10 +36,19 @@
 		return client
 	}
 	checked := *client
-	checked.Transport = &transport{base: base}
+	checked.Transport = newTransport(base)
 	return &checked
 }
 
+// BudgetOf returns what the responses of a client of NewClient or Checked may take together in memory.
+// Another client gets a new budget.
+func BudgetOf(client *http.Client) *Budget {
+	if checked, ok := client.Transport.(*transport); ok {
+		return checked.budget
+	}
+	return NewBudget(sharedBytes)
+}
+
 // Dial returns the function by which a client opens connections.
 func Dial(client *http.Client) func(ctx context.Context, network, address string) (net.Conn, error) {
 	base := transportOf(client)
@@ -58,7 +71,7 @@
 	if base, ok := checked.base.(*http.Transport); ok {
 		base = base.Clone()
 		base.DisableKeepAlives = true
-		singleUse.Transport = &transport{base: base}
+		singleUse.Transport = &transport{base: base, budget: checked.budget}
 	}
 	return &singleUse
 }
--- a/lavresponse/doc.go
+++ b/lavresponse/doc.go
@@ -10,4 +10,7 @@
 // the request, and CheckHead rejects heads that net/http accepts although they are none. Readers of
 // their own connections use both. An http.Client is equipped by NewClient, or by Checked where its
 // connections must be shared.
+//
+// A Budget limits what a process holds of all responses together, since a limit for each of them is
+// none for many that don't end.
 package lavresponse
--- a/lavresponse/transport.go
+++ b/lavresponse/transport.go
@@ -4,19 +4,38 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/textproto"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	// MaxHeadBytes is the maximum size of the head of a response.
+	MaxHeadBytes = 64 << 10
+	// maxInformational is the maximum number of informational responses before a response. Each
+	// has a head of its own.
+	maxInformational = 16
+	// sharedBytes is how much the responses of a client may take together, beyond what each of
+	// them may take in any case.
+	sharedBytes = 16 << 20
 )
 
+// errTooManyHeads means that a peer sends informational responses without end.
+var errTooManyHeads = errors.New("too many informational responses")
+
 // transport checks the heads of the responses of another transport.
-type transport struct{ base http.RoundTripper }
+type transport struct {
+	base http.RoundTripper
+	// budget is what the responses may take together.
+	budget *Budget
+}
 
-// informationalCheck checks the heads of informational responses, which precede a response.
-var informationalCheck = &httptrace.ClientTrace{
-	Got1xxResponse: func(_ int, fields textproto.MIMEHeader) error { return checkFieldNames(fields) },
+func newTransport(base http.RoundTripper) *transport {
+	return &transport{base: base, budget: NewBudget(sharedBytes)}
 }
 
 // RoundTrip implements http.RoundTripper.
 func (t *transport) RoundTrip(request *http.Request) (*http.Response, error) {
-	request = request.WithContext(httptrace.WithClientTrace(request.Context(), informationalCheck))
+	request = request.WithContext(httptrace.WithClientTrace(request.Context(), informationalCheck()))
 	response, err := t.base.RoundTrip(request)
 	if err != nil {
 		return nil, err
@@ -28,6 +47,19 @@
 	return response, nil
 }
 
+// informationalCheck returns a check of the informational responses that precede a response. An
+// http.Transport doesn't limit their number if they are traced.
+func informationalCheck() *httptrace.ClientTrace {
+	heads := 0
+	return &httptrace.ClientTrace{Got1xxResponse: func(_ int, fields textproto.MIMEHeader) error {
+		heads++
+		if heads > maxInformational {
+			return errTooManyHeads
+		}
+		return checkFieldNames(fields)
+	}}
+}
+
 // CloseIdleConnections closes the idle connections of the other transport. It is called by the method
 // of that name of http.Client.
 func (t *transport) CloseIdleConnections() {
--- a/lavstore/http.go
+++ b/lavstore/http.go
@@ -23,8 +23,13 @@
 type HTTP struct {
 	client   *http.Client
 	baseURLs []string
+	// replies is what the replies that are held may take together.
+	replies *lavresponse.Budget
 }
 
+// maxReplyBytes is the maximum size of a reply, and of all that are held together.
+const maxReplyBytes = 24 * MaxValueBytes
+
 // indexHeader is the response header that contains the revision of the store.
 const indexHeader = "X-Consul-Index"
 
@@ -37,7 +42,7 @@
 // NewHTTP returns a store that is reached at the given base URLs, tried in
 // order.
 func NewHTTP(client *http.Client, baseURLs ...string) *HTTP {
-	return &HTTP{client: lavresponse.Checked(client), baseURLs: baseURLs}
+	return &HTTP{client: lavresponse.NewClient(client), baseURLs: baseURLs, replies: lavresponse.NewBudget(maxReplyBytes)}
 }
 
 // invalidSession is part of the response to a write whose lease has ended.
@@ -280,10 +285,12 @@
 		return nil, nil, h.callError(ctx, err, write)
 	}
 	defer func() { _ = response.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(response.Body, 64*MaxValueBytes))
+	reply, err := h.replies.ReadAll(response.Body, maxReplyBytes)
+	defer reply.Release()
 	if err != nil {
 		return nil, nil, h.callError(ctx, err, write)
 	}
+	body := reply.Bytes
 	switch response.StatusCode {
 	case http.StatusOK:
 		return body, response.Header, nil
