Report a request of which nothing was sent also on a kept connection

A repeatable call that could simply be sent again then counted as lost, took a retry and made its endpoint suspect.

Cause: lavresponse.Conn dropped what the peer doesn't take if any byte had ever been sent.

Evidence: lavresponse TestRequestOfWhichNothingWasSent, which failed as there was no beginning of a request; the window is that between the look at an idle connection and the write.

Why this works: lavconn and the trace of an http.Transport, which names the connection it has chosen, begin each request.

--- a/lavconn/exchange.go
+++ b/lavconn/exchange.go
@@ -104,6 +104,7 @@
 func (c *conn) exchange(r Request, matches ResponseMatcher) (*Response, error) {
 	fresh := c.uses == 0
 	c.uses++
+	c.BeginRequest()
 	if r.HeaderTimeout > 0 {
 		if err := c.SetReadDeadline(time.Now().Add(r.HeaderTimeout)); err != nil {
 			return nil, errors.Mark(err, ErrNotSent)
--- a/lavresponse/conn.go
+++ b/lavresponse/conn.go
@@ -30,7 +30,7 @@
 
 	// writing is held during a write, and guards what it has shown.
 	writing sync.Mutex
-	// sentAny is true if any byte was ever sent.
+	// sentAny is true if any byte of the current request was sent.
 	sentAny bool
 	// refused is true once the peer takes no further bytes.
 	refused bool
@@ -46,15 +46,22 @@
 	return &Conn{Conn: c}
 }
 
+// BeginRequest says that the next write begins a request. Without it, all that is written is one.
+func (c *Conn) BeginRequest() {
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	c.sentAny = false
+}
+
 // Write implements net.Conn. Bytes that the peer doesn't take any more are dropped without an error
-// if it has received others.
+// if others of the request were sent.
 func (c *Conn) Write(p []byte) (int, error) {
 	c.writing.Lock()
 	defer c.writing.Unlock()
 	if c.ended.Load() {
 		return 0, errEnded
 	}
-	if c.refused {
+	if c.refused && c.sentAny {
 		return len(p), nil
 	}
 	n, err := c.Conn.Write(p)
--- a/lavresponse/conn_test.go
+++ b/lavresponse/conn_test.go
@@ -176,3 +176,33 @@
 	lavassert.Equal(t, "bytes sent", n, 0)
 	lavassert.True(t, "error of the writer", err != nil)
 }
+
+// brokenConn is a connection on which writes fail once broken is set.
+type brokenConn struct {
+	net.Conn
+	broken bool
+}
+
+func (c *brokenConn) Write(p []byte) (int, error) {
+	if c.broken {
+		return 0, &net.OpError{Op: "write", Err: syscall.ECONNRESET}
+	}
+	return len(p), nil
+}
+
+// TestRequestOfWhichNothingWasSent guards against a request that counts as sent, since an earlier one was on the same
+// connection. The caller may send it again.
+func TestRequestOfWhichNothingWasSent(t *testing.T) {
+	raw := &brokenConn{}
+	c := lavresponse.NewConn(raw)
+	_, err := c.Write(uploadBlock)
+	lavassert.NoError(t, err)
+	raw.broken = true
+	n, err := c.Write(uploadBlock)
+	lavassert.NoError(t, err)
+	lavassert.Equal(t, "bytes of the rest of a request that are dropped", n, len(uploadBlock))
+	c.BeginRequest()
+	n, err = c.Write(uploadBlock)
+	lavassert.ErrorIs(t, err, syscall.ECONNRESET)
+	lavassert.Equal(t, "bytes of the next request", n, 0)
+}
--- a/lavresponse/transport.go
+++ b/lavresponse/transport.go
@@ -35,7 +35,7 @@
 
 // RoundTrip implements http.RoundTripper.
 func (t *transport) RoundTrip(request *http.Request) (*http.Response, error) {
-	request = request.WithContext(httptrace.WithClientTrace(request.Context(), informationalCheck()))
+	request = request.WithContext(httptrace.WithClientTrace(request.Context(), newTrace()))
 	response, err := t.base.RoundTrip(request)
 	if err != nil {
 		return nil, err
@@ -47,17 +47,27 @@
 	return response, nil
 }
 
-// informationalCheck returns a check of the informational responses that precede a response. An
-// http.Transport doesn't limit their number if they are traced.
-func informationalCheck() *httptrace.ClientTrace {
+// newTrace returns what an http.Transport calls in the course of one request.
+func newTrace() *httptrace.ClientTrace {
 	heads := 0
-	return &httptrace.ClientTrace{Got1xxResponse: func(_ int, fields textproto.MIMEHeader) error {
-		heads++
-		if heads > maxInformational {
-			return errTooManyHeads
-		}
-		return checkFieldNames(fields)
-	}}
+	return &httptrace.ClientTrace{
+		GotConn: beginRequest,
+		// The transport doesn't limit the number of informational responses if they are traced.
+		Got1xxResponse: func(_ int, fields textproto.MIMEHeader) error {
+			heads++
+			if heads > maxInformational {
+				return errTooManyHeads
+			}
+			return checkFieldNames(fields)
+		},
+	}
+}
+
+// beginRequest begins a request on the connection that a transport has chosen for it.
+func beginRequest(info httptrace.GotConnInfo) {
+	if c, ok := info.Conn.(*Conn); ok {
+		c.BeginRequest()
+	}
 }
 
 // CloseIdleConnections closes the idle connections of the other transport. It is called by the method
