--- a/lavconn/pool.go
+++ b/lavconn/pool.go
@@ -17,6 +17,9 @@
 // sent while the endpoint closes the connection.
 const idleTimeoutFactor = 0.6
 
+// readBufferBytes is large enough for a response header and several events.
+const readBufferBytes = 4 << 10
+
 // Dialer opens a connection to an endpoint.
 type Dialer func(ctx context.Context, address netip.AddrPort) (net.Conn, error)
 
