--- a/cmd/lavenderrack/entry.go
+++ b/cmd/lavenderrack/entry.go
@@ -20,8 +20,6 @@
 	"github.com/cockroachdb/errors"
 	"github.com/google/subcommands"
 	"github.com/phuslu/log"
-	"github.com/uber-go/tally/v4"
-	"github.com/uber-go/tally/v4/prometheus"
 )
 
 // Resource limits of the process of an entry host.
@@ -90,15 +88,8 @@
 	debug.SetMemoryLimit(int64(float64(s.MemoryBytes) * memoryLimitFraction))
 	logWriter := &log.AsyncWriter{ChannelSize: logBufferLines, DiscardOnFull: true, Writer: &log.IOWriter{Writer: os.Stdout}}
 	defer func() { _ = logWriter.Close() }()
-	reporter := prometheus.NewReporter(prometheus.Options{})
-	scope, metrics := tally.NewRootScope(tally.ScopeOptions{
-		Prefix:                 "lavenderrack",
-		Separator:              prometheus.DefaultSeparator,
-		SanitizeOptions:        &prometheus.DefaultSanitizerOpts,
-		OmitCardinalityMetrics: true,
-		CachedReporter:         reporter,
-	}, metricsInterval)
-	defer func() { _ = metrics.Close() }()
+	hostMetrics := newMetrics()
+	defer func() { _ = hostMetrics.closer.Close() }()
 	var listen net.ListenConfig
 	datagrams, err := listen.ListenPacket(ctx, "udp4", s.Datagrams.String())
 	if err != nil {
@@ -111,10 +102,10 @@
 		Store:          platform.NewStore(&http.Client{Transport: newTransport()}, s.Store),
 		SuspendClock:   lavhost.SuspendedTime,
 		Logger:         &log.Logger{Level: log.InfoLevel, Writer: logWriter},
-		Scope:          scope,
+		Scope:          hostMetrics.scope,
 		LoadSettings:   loadSettings,
 		ReloadSignal:   reloadSignal,
-		MetricsHandler: reporter.HTTPHandler(),
+		MetricsHandler: hostMetrics.handler,
 
 		Datagrams:   datagrams,
 		MetricsPort: metricsPort,
--- a/cmd/lavenderrack/serve.go
+++ b/cmd/lavenderrack/serve.go
@@ -16,17 +16,13 @@
 	"github.com/cockroachdb/errors"
 	"github.com/google/subcommands"
 	"github.com/phuslu/log"
-	"github.com/uber-go/tally/v4"
-	"github.com/uber-go/tally/v4/prometheus"
 )
 
-// Connection pool settings of a host, and the interval at which it updates its
-// metrics.
+// Connection pool settings of a host.
 const (
 	maxIdleConnsPerHost = 64
 	idleConnTimeout     = 90 * time.Second
 	keepAliveInterval   = 15 * time.Second
-	metricsInterval     = time.Second
 )
 
 // serveCommand runs an entry host with a settings file.
@@ -72,22 +68,15 @@
 
 // serve runs an entry host until the context ends and the host has drained.
 func serve(ctx context.Context, settings lavsettings.Settings) error {
-	reporter := prometheus.NewReporter(prometheus.Options{})
-	scope, metrics := tally.NewRootScope(tally.ScopeOptions{
-		Prefix:                 "lavenderrack",
-		Separator:              prometheus.DefaultSeparator,
-		SanitizeOptions:        &prometheus.DefaultSanitizerOpts,
-		OmitCardinalityMetrics: true,
-		CachedReporter:         reporter,
-	}, metricsInterval)
+	hostMetrics := newMetrics()
 	node := lavnode.New(settings, lavnode.Dependencies{
 		Listen:  net.Listen,
 		Client:  newHostClient(settings),
 		Logger:  &log.Logger{Level: log.ParseLevel(settings.LogLevel), Writer: &log.IOWriter{Writer: os.Stderr}},
-		Scope:   scope,
-		Metrics: reporter.HTTPHandler(),
+		Scope:   hostMetrics.scope,
+		Metrics: hostMetrics.handler,
 	})
-	return errors.CombineErrors(node.Run(ctx), metrics.Close())
+	return errors.CombineErrors(node.Run(ctx), hostMetrics.closer.Close())
 }
 
 // newHostClient returns the HTTP client for the platform, the peers and the
