Let engine clients share connections again, and the endless test end by its caller

TestRelayThroughFaults of lavstream, with dials that nobody waited for: since lavengine.NewHTTP and NewPinnedClients had given each engine a copy of the transport, so that closing the caller's idle connections no longer ended them. They use the caller's transport again (Checked); lavnode, which gives them a client of NewClient, limits heads as before.

TestEndlessResponsesLeaveMemory of lavrelay: 122 to 199 of 200 calls had reached an endpoint within the second after which they ended. Now the caller leaves after 1 MiB, and a call has 20 s; bound and number of calls are the same.

--- a/lavengine/endless_test.go
+++ b/lavengine/endless_test.go
@@ -11,6 +11,7 @@
 	"lavenderrack.example/lavenderrack/lavassert"
 	"lavenderrack.example/lavenderrack/lavengine"
 	"lavenderrack.example/lavenderrack/lavfake"
+	"lavenderrack.example/lavenderrack/lavresponse"
 )
 
 // callsAtOnce is how many calls are answered without end at the same time.
@@ -44,7 +45,7 @@
 	for _, endless := range lavfake.EndlessAnswers(namesIncarnation) {
 		server := httptest.NewServer(&endless)
 		defer server.Close()
-		client := &http.Client{Transport: &http.Transport{}}
+		client := lavresponse.NewClient(&http.Client{Transport: &http.Transport{}})
 		pins := lavengine.NewPinnedClients(client)
 		e := lavengine.NewHTTP(client, server.URL)
 		pinned := lavengine.NewPinnedEngine(pins, netip.MustParseAddrPort(server.Listener.Addr().String()), lavengine.Pin{Incarnation: "i"})
--- a/lavengine/http.go
+++ b/lavengine/http.go
@@ -45,10 +45,11 @@
 
 // NewHTTP returns a client of the engine at the URL base, such as
 // http://10.0.0.1:8000. The HTTP client must not set a timeout, because a stream
-// stays open until its answer ends. Engines share connections, and the memory for
-// their replies, if the HTTP client is one of lavresponse.NewClient.
+// stays open until its answer ends. Engines share the connections of the HTTP client,
+// and if that is one of lavresponse.NewClient, which also limits the heads of replies,
+// the memory for them.
 func NewHTTP(client *http.Client, base string) *HTTP {
-	client = lavresponse.NewClient(client)
+	client = lavresponse.Checked(client)
 	return &HTTP{client: client, baseURL: base, closeIdle: client.CloseIdleConnections, replies: lavresponse.BudgetOf(client)}
 }
 
--- a/lavengine/pin.go
+++ b/lavengine/pin.go
@@ -70,7 +70,7 @@
 
 // NewPinnedClients returns pinned clients that dial in the same way as client.
 func NewPinnedClients(client *http.Client) *PinnedClients {
-	client = lavresponse.NewClient(client)
+	client = lavresponse.Checked(client)
 	return &PinnedClients{
 		unpinned: client,
 		dial:     lavresponse.Dial(client),
--- a/lavrelay/endlessmemory_test.go
+++ b/lavrelay/endlessmemory_test.go
@@ -6,7 +6,6 @@
 	"net/http"
 	"sync"
 	"testing"
-	"time"
 
 	"lavenderrack.example/lavenderrack/lavassert"
 	"lavenderrack.example/lavenderrack/lavconfig"
@@ -18,13 +17,26 @@
 // callsAtOnce is how many calls are answered without end at the same time.
 const callsAtOnce = 200
 
-// discard is a caller who keeps nothing of an answer.
-type discard struct{ header http.Header }
+// acceptedBytes is how much of an answer without end its caller accepts.
+const acceptedBytes = 1 << 20
 
-func (d discard) Header() http.Header       { return d.header }
-func (discard) Write(p []byte) (int, error) { return len(p), nil }
-func (discard) WriteHeader(int)             {}
-func (discard) Flush()                      {}
+// leavingCaller is a caller who keeps nothing of an answer, and leaves after acceptedBytes.
+type leavingCaller struct {
+	header   http.Header
+	accepted int
+}
+
+func (l *leavingCaller) Header() http.Header { return l.header }
+func (l *leavingCaller) WriteHeader(int)     {}
+func (l *leavingCaller) Flush()              {}
+
+func (l *leavingCaller) Write(p []byte) (int, error) {
+	l.accepted += len(p)
+	if l.accepted > acceptedBytes {
+		return 0, net.ErrClosed
+	}
+	return len(p), nil
+}
 
 // TestEndlessResponsesLeaveMemory guards against a host that runs out of memory, since it keeps answers that don't end.
 func TestEndlessResponsesLeaveMemory(t *testing.T) {
@@ -45,7 +57,7 @@
 	lavassert.FitsIntoHost(t, func() {
 		var running sync.WaitGroup
 		for range callsAtOnce {
-			running.Go(func() { b.serveDiscarded(kind) })
+			running.Go(func() { b.serveLeaving(kind) })
 		}
 		running.Wait()
 	})
@@ -53,11 +65,11 @@
 	b.closePool()
 }
 
-// serveDiscarded serves a call whose caller keeps nothing, and which ends after a second.
-func (b *fixture) serveDiscarded(kind lavconfig.RouteKind) {
+// serveLeaving serves a call whose caller leaves.
+func (b *fixture) serveLeaving(kind lavconfig.RouteKind) {
 	// The relay aborts the connection of a caller who has a part of the answer.
 	defer func() { _ = recover() }()
 	c := b.call(kind)
-	c.Deadline = c.Arrived.Add(time.Second)
-	b.relay.Serve(context.Background(), discard{http.Header{}}, c)
+	c.Deadline = c.Arrived.Add(realTimeout)
+	b.relay.Serve(context.Background(), &leavingCaller{header: http.Header{}}, c)
 }
--- a/lavrelay/uploadreset_test.go
+++ b/lavrelay/uploadreset_test.go
@@ -22,8 +22,8 @@
 // resetWaits are the times from a part of an answer to its reset.
 var resetWaits = []time.Duration{0, time.Millisecond, 30 * time.Millisecond}
 
-// uploadTimeout is longer than any of the calls takes on a busy machine.
-const uploadTimeout = 20 * time.Second
+// realTimeout is longer than a call takes on a busy machine, whose time the tests don't control.
+const realTimeout = 20 * time.Second
 
 // uploadRuns is how often each case runs, since the kernel tells either the reader or the writer.
 const uploadRuns = 3
@@ -40,7 +40,7 @@
 func (b *fixture) upload(kind lavconfig.RouteKind, size int) *Call {
 	c := b.call(kind)
 	c.Route.Resumable = false
-	c.Deadline = c.Arrived.Add(uploadTimeout)
+	c.Deadline = c.Arrived.Add(realTimeout)
 	c.Body = bytes.Repeat([]byte("u"), size)
 	return c
 }
