--- a/lavconn/pool.go
+++ b/lavconn/pool.go
@@ -88,10 +88,10 @@
 	if err != nil {
 		return nil, err
 	}
-	proven := lavresponse.NewConn(raw)
-	received := &limitedReader{Reader: proven}
+	wrapped := lavresponse.NewConn(raw)
+	received := &limitedReader{Reader: wrapped}
 	reader := bufio.NewReaderSize(received, readBufferBytes)
-	return &conn{Conn: proven, pool: p, address: address, received: received, reader: reader}, nil
+	return &conn{Conn: wrapped, pool: p, address: address, received: received, reader: reader}, nil
 }
 
 // pop removes and returns the most recently used idle connection, which is the
@@ -155,7 +155,8 @@
 // Connections that are not sockets, such as those of tests, always count as
 // reusable.
 func (c *conn) isReusable() bool {
-	socket, ok := c.Conn.Conn.(syscall.Conn)
+	dialled := c.Conn.Conn
+	socket, ok := dialled.(syscall.Conn)
 	if !ok {
 		return true
 	}
--- a/lavresponse/client.go
+++ b/lavresponse/client.go
@@ -19,13 +19,13 @@
 		return Checked(client)
 	}
 	base = base.Clone()
-	base.DialContext = provenDial(dialOf(base))
+	base.DialContext = wrapDial(dialOf(base))
 	if base.MaxResponseHeaderBytes == 0 {
 		base.MaxResponseHeaderBytes = MaxHeadBytes
 	}
-	proven := *client
-	proven.Transport = newTransport(base)
-	return &proven
+	equipped := *client
+	equipped.Transport = newTransport(base)
+	return &equipped
 }
 
 // Checked returns a client like client, with the same connections, that returns an error for a response
@@ -92,8 +92,8 @@
 	return base.DialContext
 }
 
-// provenDial returns a function that opens connections of the type Conn by dial.
-func provenDial(dial dialFunc) dialFunc {
+// wrapDial returns a function that opens connections of the type Conn by dial.
+func wrapDial(dial dialFunc) dialFunc {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		c, err := dial(ctx, network, address)
 		if err != nil {
