Count an absence of all endpoints from its beginning

What callers saw: after a time for which all endpoints wanted no requests, callers came back in less time than they had added up in.

Cause: the length of the absence was that of the endpoint that is expected back first. A host learns of its endpoints one after the other within a second, so that this was often one of the last: 5 s rather than 6.

Now it begins when the first endpoint said so, but not before the latest run that was answered began.

--- a/lavfleet/availability.go
+++ b/lavfleet/availability.go
@@ -129,7 +129,7 @@
 // ExpectedAbsence returns the time for which the endpoints of a service seem to want no requests, also
 // those that this host has not asked: no run has been answered that began since several have said so.
 // It returns false if there is no sign of that.
-func (f *Fleet) ExpectedAbsence(name string) (a lavplan.Absence, ok bool) {
+func (f *Fleet) ExpectedAbsence(name string) (lavplan.Absence, bool) {
 	now := time.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -138,17 +138,24 @@
 		return lavplan.Absence{}, false
 	}
 	absent := 0
+	var since, until time.Time
 	for _, s := range svc.endpoints {
 		stated := f.statements[s.Incarnation()]
 		if !now.Before(stated.aloneUntil) || !stated.aloneSince.After(svc.answeredFrom) {
 			continue
 		}
-		absent++
-		if left := stated.aloneUntil.Sub(now); absent == 1 || left < a.Left {
-			a = lavplan.Absence{Left: left, Length: stated.aloneUntil.Sub(stated.aloneSince)}
+		if absent == 0 || stated.aloneSince.Before(since) {
+			since = stated.aloneSince
+		}
+		if absent == 0 || stated.aloneUntil.Before(until) {
+			until = stated.aloneUntil
 		}
+		absent++
+	}
+	if absent < minAbsent {
+		return lavplan.Absence{}, false
 	}
-	return a, absent >= minAbsent
+	return lavplan.Absence{Left: until.Sub(now), Length: until.Sub(since)}, true
 }
 
 // exclusion returns why an endpoint may receive no new request of any kind, or ReasonNone. The
--- a/lavfleet/snapshot.go
+++ b/lavfleet/snapshot.go
@@ -24,8 +24,10 @@
 	// NextAvailable is when the first of the endpoints that want no requests for a time, or
 	// only a limited number, is expected to receive one again. It is zero if there is none.
 	NextAvailable time.Time
-	// absentSince is since when that endpoint has wanted no requests, zero if it wants a limited
-	// number.
+	// nextIsLimited is true if that endpoint wants a limited number.
+	nextIsLimited bool
+	// absentSince is since when callers add up if all endpoints want no requests: since the first
+	// has said so, but not before the latest run began that was answered.
 	absentSince time.Time
 	// Hosts is the number of hosts that may send requests to the service.
 	Hosts int
@@ -66,6 +68,9 @@
 		}
 		b.add(s, now)
 	}
+	if svc.answeredFrom.After(b.absentSince) {
+		b.absentSince = svc.answeredFrom
+	}
 	if len(b.Endpoints) == 0 && b.lacksShare() {
 		f.recordPress(svc, &b, now)
 	}
@@ -115,17 +120,21 @@
 // expected at permitAt.
 func (b *Snapshot) exclude(reason Reason, stated statement, permitAt time.Time) {
 	b.Excluded[reason]++
-	var since, until time.Time
 	switch reason {
 	case ReasonRetryAfter:
-		since, until = stated.aloneSince, stated.aloneUntil
+		if b.absentSince.IsZero() || stated.aloneSince.Before(b.absentSince) {
+			b.absentSince = stated.aloneSince
+		}
+		b.expect(stated.aloneUntil, false)
 	case ReasonLimited:
-		until = permitAt
-	default:
-		return
+		b.expect(permitAt, true)
 	}
-	if b.NextAvailable.IsZero() || until.Before(b.NextAvailable) {
-		b.absentSince, b.NextAvailable = since, until
+}
+
+// expect records when an endpoint that was left out is expected to receive a request again.
+func (b *Snapshot) expect(at time.Time, limited bool) {
+	if b.NextAvailable.IsZero() || at.Before(b.NextAvailable) {
+		b.NextAvailable, b.nextIsLimited = at, limited
 	}
 }
 
@@ -136,7 +145,7 @@
 		return lavplan.Absence{}
 	}
 	a := lavplan.Absence{Left: time.Until(b.NextAvailable)}
-	if !b.absentSince.IsZero() {
+	if !b.nextIsLimited {
 		a.Length = b.NextAvailable.Sub(b.absentSince)
 	}
 	return a
