Let refused callers return evenly rather than at random times

After an absence of all endpoints twice as many callers as usual come, by design.

Each host now takes the times from a sequence that divides the span into similar parts (lavplan.EvenDraws).

--- a/lavrelay/placement.go
+++ b/lavrelay/placement.go
@@ -61,7 +61,7 @@
 			}
 		}
 		if !ok && (!mayPoll || !snapshot.AvailableBy(availableWaitEnd)) {
-			t.retryAfter = lavplan.RetryAfter(snapshot.Candidates, snapshot.Absence(), t.relay.draw)
+			t.retryAfter = lavplan.RetryAfter(snapshot.Candidates, snapshot.Absence(), t.relay.returns.Draw)
 			t.relay.metrics.countRefusal(t.call.Prompt.Rank)
 			return nil, OutcomeFull
 		}
--- a/lavrelay/refusal.go
+++ b/lavrelay/refusal.go
@@ -54,7 +54,7 @@
 		return 0
 	}
 	if absence, ok := t.relay.fleet.ExpectedAbsence(t.call.Service); ok && t.retryAfter == 0 {
-		return lavplan.RetryAfter(nil, absence, t.relay.draw)
+		return lavplan.RetryAfter(nil, absence, t.relay.returns.Draw)
 	}
 	return max(t.retryAfter, minRetryAfter)
 }
--- a/lavrelay/relay.go
+++ b/lavrelay/relay.go
@@ -11,6 +11,7 @@
 	"lavenderrack.example/lavenderrack/lavconn"
 	"lavenderrack.example/lavenderrack/lavevent"
 	"lavenderrack.example/lavenderrack/lavfleet"
+	"lavenderrack.example/lavenderrack/lavplan"
 	"lavenderrack.example/lavenderrack/lavresponse"
 	"lavenderrack.example/lavenderrack/platform"
 
@@ -47,6 +48,8 @@
 	suspects  Suspects
 	logger    *log.Logger
 	draw      func() float64
+	// returns spreads the Retry-After times of refused callers.
+	returns   *lavplan.EvenDraws
 	peers     Peers
 	scheduler Scheduler
 	departure Departure
@@ -75,6 +78,7 @@
 		suspects:  suspects,
 		logger:    logger,
 		draw:      draw,
+		returns:   lavplan.NewEvenDraws(),
 		peers:     noPeers{},
 		scheduler: noScheduler{},
 		departure: noDeparture{},
