--- a/lavstream/deadline_test.go
+++ b/lavstream/deadline_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"lavenderrack.example/lavenderrack/lavassert"
+	"lavenderrack.example/lavenderrack/lavstream"
 )
 
 // TestSilentEnginesDontDelayTheEnd guards against a caller that waits past its
@@ -62,21 +63,24 @@
 // doesn't wait until its stream is canceled.
 func TestRoomIsTakenUntilCanceled(t *testing.T) {
 	withSetup(t, engineSettings(), func(t *testing.T, s *testSetup) {
-		const timeout = 2 * time.Second
-		h := s.hosts[0]
+		// The prompt's path is cut after 1.5 s.
+		const (
+			timeout      = 2 * time.Second
+			tokensBefore = 150
+		)
+		h, engine := s.hosts[0], ""
 		a := newTestPrompt("lace", 1000, time.Minute)
 		ctx, cancel := context.WithTimeout(t.Context(), timeout)
 		defer cancel()
-		time.AfterFunc(timeout-10*time.Millisecond, func() {
-			s.rack.Network.SetPartitioned(entryHost, a.frames[0].Endpoint, true)
+		callOnceAfter(a, tokensBefore, func(frame lavstream.EndpointFrame) {
+			engine = frame.Endpoint
+			s.rack.Network.SetPartitioned(entryHost, engine, true)
 		})
 		_, err := h.relay.Run(ctx, &a.job)
 		lavassert.ErrorIs(t, err, context.DeadlineExceeded)
 		lavassert.True(t, "the engine still runs the stream", s.usedMemoryTokens() > 0)
 		lavassert.Equal(t, "requests that take room", h.dispatch.Load().Running, 1)
-		time.AfterFunc(time.Second, func() {
-			s.rack.Network.SetPartitioned(entryHost, a.frames[0].Endpoint, false)
-		})
+		time.AfterFunc(time.Second, func() { s.rack.Network.SetPartitioned(entryHost, engine, false) })
 		h.cleanup.Wait(t.Context())
 		lavassert.Equal(t, "engine memory in use", s.usedMemoryTokens(), 0)
 		lavassert.Equal(t, "requests that take room after the cancellation", h.dispatch.Load().Running, 0)
