Show that a server that has left gets work again after the store lost its leaving

Cause: an entry that is back after the store came back from an older copy is put in service again; a host remembers the end of an entry only if it had said draining. Change: case 12. A server ends its entry without draining, 3 s later the store comes back from a copy 4.5 s old.

--- a/review/standin3/coldrestart.go
+++ b/review/standin3/coldrestart.go
@@ -11,11 +11,13 @@
 	"time"
 )
 
-// Figures of case 12.
+// Figures of case 13.
 const (
 	coldHosts = 7
 	// warmupPerSecond is what a cold server bears.
 	warmupPerSecond = 36
+	// warmupSeconds is warmup_s. The servers are cold all the while: each says at any time that it is for so long.
+	warmupSeconds = 3
 	// pressers are the consumers of each host. Each comes back when it is told to.
 	pressers = 24
 	// killEvery is the time between two kills of all processes, and kills their number.
@@ -33,11 +35,11 @@
 		return false, err
 	}
 	defer w.close()
-	if err := w.configure(1, 3, warmupPerSecond, route{name: "r-lookup", prefix: "/lookup/", kind: "safe", timeoutMS: 4000, goalMS: 300, attempts: 2}); err != nil {
+	if err := w.configure(1, warmupSeconds, warmupPerSecond, route{name: "r-lookup", prefix: "/lookup/", kind: "safe", timeoutMS: 4000, goalMS: 300, attempts: 2}); err != nil {
 		return false, err
 	}
 	for i := range 2 {
-		if err := w.startServer(i, 64, 128, 20*time.Millisecond); err != nil {
+		if err := w.startServer(i, 64, 128, 20*time.Millisecond, warmupSeconds*1000); err != nil {
 			return false, err
 		}
 	}
--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -28,9 +28,10 @@
 // plays are the cases by their numbers.
 var plays = map[int]play{
 	11: playMemory,
-	12: playColdRestart,
-	13: playRetryWindow,
-	14: playStoreCopy,
+	12: playStoreCopy,
+	13: playColdRestart,
+	14: playRetryWindow,
+	15: playRollback,
 }
 
 func main() {
--- a/review/standin3/memory.go
+++ b/review/standin3/memory.go
@@ -58,7 +58,7 @@
 		return false, err
 	}
 	for i := range memoryServers {
-		if err := w.startServer(i, memorySlots, memoryQueue, lookupWork); err != nil {
+		if err := w.startServer(i, memorySlots, memoryQueue, lookupWork, 0); err != nil {
 			return false, err
 		}
 	}
--- a/review/standin3/retrywindow.go
+++ b/review/standin3/retrywindow.go
@@ -12,7 +12,7 @@
 	"time"
 )
 
-// Figures of case 13.
+// Figures of case 14.
 const (
 	retryHosts = 3
 	// windowBefore and windowAfter are the retry_window_s of the settings before and after they change.
@@ -45,7 +45,7 @@
 		return false, err
 	}
 	for i := range 3 {
-		if err := w.startServer(i, 6, 2, 400*time.Millisecond); err != nil {
+		if err := w.startServer(i, 6, 2, 400*time.Millisecond, 0); err != nil {
 			return false, err
 		}
 	}
@@ -69,8 +69,9 @@
 		}
 		r.printf("the platform has changed retry_window_s from %d to %d and sent SIGHUP", windowBefore, windowAfter)
 	}
-	calls := w.pressServers(ctx)
-	return w.judgeRetries(calls, after), ctx.Err()
+	start := time.Now()
+	calls := w.pressServers(ctx, rateAt, settleTime+bursts[len(bursts)-1]+burstTime+2*time.Second)
+	return w.judgeRetries(calls, after, start.Add(settleTime)), ctx.Err()
 }
 
 // rateAt returns the requests a second at a time after the start of the traffic.
@@ -83,18 +84,18 @@
 	return usualPerSecond
 }
 
-// pressServers sends the traffic. Each request comes at its time, whatever became of the others.
-func (w *world) pressServers(ctx context.Context) []call {
+// pressServers sends traffic of a rate, which depends on the time since its start, until an end. Each request comes at
+// its time, whatever became of the others.
+func (w *world) pressServers(ctx context.Context, rate func(since time.Duration) float64, end time.Duration) []call {
 	var mu sync.Mutex
 	var calls []call
 	var idle [retryHosts][]*consumer
 	var all sync.WaitGroup
 	start := time.Now()
-	end := settleTime + bursts[len(bursts)-1] + burstTime + 2*time.Second
 	next := start
 	for i := 0; time.Since(start) < end && ctx.Err() == nil; i++ {
 		time.Sleep(time.Until(next))
-		next = next.Add(time.Duration(float64(time.Second) / rateAt(time.Since(start))))
+		next = next.Add(time.Duration(float64(time.Second) / rate(time.Since(start))))
 		at := i % retryHosts
 		mu.Lock()
 		c := &consumer{host: w.hosts[at]}
@@ -119,8 +120,9 @@
 	return calls
 }
 
-// judgeRetries reports whether some window has more arrivals beyond the first of each request than the bound allows.
-func (w *world) judgeRetries(calls []call, b bounds) bool {
+// judgeRetries reports whether some window that begins after a time, or a second before it, has more arrivals beyond the
+// first of each request than the bound allows.
+func (w *world) judgeRetries(calls []call, b bounds, begin time.Time) bool {
 	arrivals := w.allArrivals()
 	slices.SortFunc(arrivals, func(a, b arrival) int { return a.at.Compare(b.at) })
 	seen := make(map[string]bool)
@@ -139,7 +141,6 @@
 	slices.SortFunc(sent, func(a, b time.Time) int { return a.Compare(b) })
 	window := time.Duration(b.retryWindowS * float64(time.Second))
 	w.record.printf("%d requests, %d arrivals, %d of them beyond the first; answers by status: %v", len(calls), len(arrivals), len(again), statuses)
-	begin := sent[0].Add(settleTime)
 	worst, broken := -1e9, false
 	for _, end := range again {
 		from := end.Add(-window)
--- a/review/standin3/server.go
+++ b/review/standin3/server.go
@@ -30,6 +30,8 @@
 	work     time.Duration
 	http     *http.Server
 	born     int64
+	// coldMS is how long the server stays cold, in milliseconds, as it says at any time.
+	coldMS int
 
 	mu sync.Mutex
 	// left is true once the server's entry has ended for good.
@@ -40,14 +42,14 @@
 }
 
 // startServer starts a server and writes its entry.
-func (w *world) startServer(number, slots, queue int, work time.Duration) error {
+func (w *world) startServer(number, slots, queue int, work time.Duration, coldMS int) error {
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		return err
 	}
 	s := &server{
 		id: fmt.Sprintf("i-%08x", 0xeb5e4300+number), zone: zones[number%3], address: l.Addr().String(),
-		slots: slots, queue: queue, work: work, born: time.Now().UnixMilli(), places: make(chan struct{}, slots),
+		slots: slots, queue: queue, work: work, born: time.Now().UnixMilli(), coldMS: coldMS, places: make(chan struct{}, slots),
 	}
 	s.http = &http.Server{Handler: s, ReadHeaderTimeout: 5 * time.Second, IdleTimeout: 4 * time.Second}
 	go func() { _ = s.http.Serve(l) }()
@@ -58,8 +60,8 @@
 
 // entry returns the value of the server's entry in the store.
 func (s *server) entry(seq int) string {
-	return fmt.Sprintf(`{"backend":%q,"address":%q,"zone":%q,"version":"v1","slots":%d,"state":"ready","warmup_left_ms":0,"seq":%d,"born":%d}`,
-		service, s.address, s.zone, s.slots, seq, s.born)
+	return fmt.Sprintf(`{"backend":%q,"address":%q,"zone":%q,"version":"v1","slots":%d,"state":"ready","warmup_left_ms":%d,"seq":%d,"born":%d}`,
+		service, s.address, s.zone, s.slots, s.coldMS, seq, s.born)
 }
 
 // hasLeft reports whether the server's entry has ended for good.
--- a/review/standin3/storecopy.go
+++ b/review/standin3/storecopy.go
@@ -11,7 +11,7 @@
 	"lavenderrack.example/lavenderrack/platform/standin"
 )
 
-// Figures of case 14.
+// Figures of case 12.
 const (
 	copyHosts = 3
 	// copyRate is the requests a second.
@@ -43,7 +43,7 @@
 		return false, err
 	}
 	for i := range 3 {
-		if err := w.startServer(i, 6, 24, 60*time.Millisecond); err != nil {
+		if err := w.startServer(i, 6, 24, 60*time.Millisecond, 0); err != nil {
 			return false, err
 		}
 	}
--- a/review/standin3/world.go
+++ b/review/standin3/world.go
@@ -68,7 +68,9 @@
 	hosts   []*host
 	servers []*server
 	pinging sync.WaitGroup
-	stop    context.CancelFunc
+	// movedAt and backAt are when a route was moved to another service and back.
+	movedAt, backAt time.Time
+	stop            context.CancelFunc
 }
 
 // newWorld starts the platform's store.
@@ -128,8 +130,13 @@
 	attempts           int
 }
 
-// configure writes a desired state.
+// configure writes a desired state whose routes lead to the service.
 func (w *world) configure(version int, warmupS, warmupPerS float64, routes ...route) error {
+	return w.configureFor(service, version, warmupS, warmupPerS, routes...)
+}
+
+// configureFor writes a desired state whose routes lead to a service, the only one that it names.
+func (w *world) configureFor(service string, version int, warmupS, warmupPerS float64, routes ...route) error {
 	var rs []map[string]any
 	for _, r := range routes {
 		rs = append(rs, map[string]any{
@@ -147,7 +154,7 @@
 		return err
 	}
 	w.store.Put("op/config", string(text))
-	w.record.printf("the operator has written version %d", version)
+	w.record.printf("the operator has written version %d, whose routes lead to %s", version, service)
 	return nil
 }
 
