--- a/review/standin3/client.go
+++ b/review/standin3/client.go
@@ -77,7 +77,8 @@
 
 // sendHead sends the head of a request.
 func (c *consumer) sendHead(out *call, limit time.Duration) error {
-	head := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Deadline-Ms: %d\r\nAuthorization: Bearer %s\r\n", out.method, out.path, hostName, out.id, limit.Milliseconds(), apiKey)
+	head := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\nAuthorization: Bearer %s\r\n",
+		out.method, out.path, hostName, names.RequestID, out.id, names.Deadline, limit.Milliseconds(), apiKey)
 	if out.method != http.MethodGet {
 		head += fmt.Sprintf("Content-Length: %d\r\n", out.size)
 	}
--- a/review/standin3/memory.go
+++ b/review/standin3/memory.go
@@ -155,7 +155,7 @@
 func (w *world) resolve(failed *host) *host {
 	client := &http.Client{Timeout: time.Second}
 	for _, i := range rand.Perm(len(w.hosts)) {
-		response, err := client.Get("http://" + w.hosts[i].at(directoryPort) + "/-/resolve?name=" + hostName + "&region=khomas&zone=khomas-b")
+		response, err := client.Get("http://" + w.hosts[i].at(directoryPort) + names.PathResolve + "?name=" + hostName + "&region=khomas&zone=khomas-b")
 		if err != nil {
 			continue
 		}
@@ -271,10 +271,10 @@
 
 // stream sends the events of an answer after the one that the request names.
 func (s *server) stream(w http.ResponseWriter, r *http.Request) {
-	w.Header().Set("X-Server-Stamp", "3e1b."+r.Header.Get("X-Request-Id"))
+	w.Header().Set(names.Stamp, "3e1b."+r.Header.Get(names.RequestID))
 	w.Header().Set("Content-Type", "text/event-stream")
 	id := 0
-	_, _ = fmt.Sscan(r.Header.Get("Last-Event-Id"), &id)
+	_, _ = fmt.Sscan(r.Header.Get(names.LastEvent), &id)
 	wait := firstEventAfter
 	for id++; id <= streamEvents; id++ {
 		select {
--- a/review/standin3/server.go
+++ b/review/standin3/server.go
@@ -54,13 +54,13 @@
 	s.http = &http.Server{Handler: s, ReadHeaderTimeout: 5 * time.Second, IdleTimeout: 4 * time.Second}
 	go func() { _ = s.http.Serve(l) }()
 	w.servers = append(w.servers, s)
-	w.store.Put("servers/"+s.id, s.entry(1))
+	w.store.Put(names.PrefixServers+s.id, s.entry(1))
 	return nil
 }
 
 // entry returns the value of the server's entry in the store.
 func (s *server) entry(seq int) string {
-	return fmt.Sprintf(`{"backend":%q,"address":%q,"zone":%q,"version":"v1","slots":%d,"state":"ready","warmup_left_ms":%d,"seq":%d,"born":%d}`,
+	return fmt.Sprintf(wireText("entry.json.fmt"),
 		service, s.address, s.zone, s.slots, s.coldMS, seq, s.born)
 }
 
@@ -97,16 +97,16 @@
 
 // ServeHTTP implements http.Handler.
 func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	id := r.Header.Get("X-Request-Id")
-	w.Header().Set("X-Instance-Id", s.id)
+	id := r.Header.Get(names.RequestID)
+	w.Header().Set(names.Instance, s.id)
 	if id != "" {
-		w.Header().Set("X-Request-Id", id)
+		w.Header().Set(names.RequestID, id)
 	}
-	if want := r.Header.Get("X-Expect-Instance"); want != "" && want != s.id {
+	if want := r.Header.Get(names.Expected); want != "" && want != s.id {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	if r.URL.Path == "/-/report" || r.URL.Path == "/health" {
+	if r.URL.Path == names.PathReport || r.URL.Path == "/health" {
 		return
 	}
 	length, err := io.Copy(io.Discard, r.Body)
@@ -115,7 +115,7 @@
 	}
 	if !s.enter() {
 		s.note(id, false)
-		w.Header().Set("X-Not-Run", "1")
+		w.Header().Set(names.NotRun, "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
@@ -137,8 +137,8 @@
 	case <-r.Context().Done():
 		return
 	}
-	w.Header().Set("X-Server-Stamp", "3e1b."+id)
-	w.Header().Set("X-Server-Load", fmt.Sprintf("%d,0,%d", min(s.inside, s.slots), s.slots))
+	w.Header().Set(names.Stamp, "3e1b."+id)
+	w.Header().Set(names.Load, fmt.Sprintf("%d,0,%d", min(s.inside, s.slots), s.slots))
 	_, _ = io.WriteString(w, answerBody(id, int(length)))
 }
 
--- a/review/standin3/storecopy.go
+++ b/review/standin3/storecopy.go
@@ -82,7 +82,7 @@
 	s.mu.Lock()
 	s.left = true
 	s.mu.Unlock()
-	w.store.Remove("servers/" + s.id)
+	w.store.Remove(names.PrefixServers + s.id)
 }
 
 // restore lets the store be away for a moment and come back from a copy. The operator and the servers write again
@@ -98,7 +98,7 @@
 	if err := w.configure(1, 0, 0, routes...); err != nil {
 		w.record.printf("the operator could not write: %v", err)
 	}
-	w.store.Remove("servers/" + leaving.id)
+	w.store.Remove(names.PrefixServers + leaving.id)
 	w.record.printf("the operator and the servers have written again what they wrote, and the end of the entry of %s too", leaving.id)
 }
 
--- a/review/standin3/world.go
+++ b/review/standin3/world.go
@@ -103,7 +103,7 @@
 		}
 		for _, s := range w.servers {
 			if !s.hasLeft() {
-				w.store.Put("servers/"+s.id, s.entry(seq))
+				w.store.Put(names.PrefixServers+s.id, s.entry(seq))
 			}
 		}
 	}
@@ -140,8 +140,8 @@
 	var rs []map[string]any
 	for _, r := range routes {
 		rs = append(rs, map[string]any{
-			"name": r.name, "host": hostName, "path_prefix": r.prefix, "route_type": r.kind, "timeout_ms": r.timeoutMS,
-			"goal_ms": r.goalMS, "priority": 1, "backend": service, "max_attempts": r.attempts, "public": false, "resumable": r.kind == "streaming", "gap_aim_ms": 800,
+			"name": r.name, "host": hostName, names.PathPrefix: r.prefix, "route_type": r.kind, "timeout_ms": r.timeoutMS,
+			"goal_ms": r.goalMS, "priority": 1, "backend": service, "max_attempts": r.attempts, "public": false, "resumable": r.kind == "streaming", names.GapAim: 800,
 		})
 	}
 	text, err := json.Marshal(map[string]any{
@@ -153,7 +153,7 @@
 	if err != nil {
 		return err
 	}
-	w.store.Put("op/config", string(text))
+	w.store.Put(names.KeyConfig, string(text))
 	w.record.printf("the operator has written version %d, whose routes lead to %s", version, service)
 	return nil
 }
@@ -221,62 +221,7 @@
 
 // writeSettings writes the settings file as the platform does.
 func (h *host) writeSettings(b bounds) error {
-	text := fmt.Sprintf(`node_name = %q
-role = "entry"
-machine_class = "front"
-serves = ["front","control","directory"]
-ip = %q
-zone = %q
-region = "khomas"
-port_range = [%d,%d]
-seeds = ["%s"]
-bootstrap = true
-discovery = "platform"
-entry = "directory"
-heartbeat_ms = 1200
-policies = ["base","drain","config","cost","retry","recover","engine","stream","tenants","places","platform","spans"]
-[zones]
-khomas-a = "khomas"
-khomas-b = "khomas"
-khomas-c = "khomas"
-[bind]
-front_http = %q
-ready = %q
-control = %q
-directory = %q
-[limits]
-cpu_share = 0.4
-cores = 1
-memory_mb = %d
-max_fds = 4200
-link_mbps = 1000.0
-disk_mb = 0
-[bounds]
-contact_ms = 3000
-drain_ms = 2000
-grace_s = %d
-loss_slack_ms = 200
-config_apply_ms = %d
-retry_ratio = %g
-retry_window_s = %g
-retry_burst = %d
-cold_over = %g
-cold_slack = %d
-evacuate_ms = 5000
-recover_s = 12
-hold_max_ms = 20000
-free_ms = 4000
-idle_max_ms = 9000
-ttl_max_s = 5
-[provider]
-address = %q
-form = "kv"
-writes_per_s = 400
-reads_per_s = 2000
-history_s = 20
-value_bytes = 1048576
-ttl_min_ms = 1000
-`, h.name, h.ip, h.zone, firstFreePort, firstFreePort+15, strings.Join(h.seeds, `","`), h.at(frontPort), h.at(readyPort), h.at(controlPort), h.at(directoryPort),
+	text := fmt.Sprintf(wireText("settings.toml.fmt"), h.name, h.ip, h.zone, firstFreePort, firstFreePort+15, strings.Join(h.seeds, `","`), h.at(frontPort), h.at(readyPort), h.at(controlPort), h.at(directoryPort),
 		b.memoryMB, b.graceS, b.configApplyMS, b.retryRatio, b.retryWindowS, b.retryBurst, b.coldOver, b.coldSlack, h.world.address)
 	if err := os.WriteFile(h.settingsPath()+".new", []byte(text), 0o600); err != nil {
 		return err
@@ -292,7 +237,7 @@
 		return nil
 	}
 	c := exec.Command("target/lavenderrack", "entry", "-metrics", metricsPort)
-	c.Env = []string{"LAVENDERRACK_BOOT=" + h.settingsPath(), "PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "GOMAXPROCS=1"}
+	c.Env = []string{names.SettingsVariable + "=" + h.settingsPath(), "PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "GOMAXPROCS=1"}
 	out, err := os.OpenFile(filepath.Join(h.world.dir, h.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
@@ -385,7 +330,7 @@
 	client := &http.Client{Timeout: time.Second}
 	for _, h := range w.hosts {
 		for {
-			response, err := client.Get("http://" + h.at(readyPort) + "/-/ready")
+			response, err := client.Get("http://" + h.at(readyPort) + names.PathReady)
 			if err == nil {
 				_ = response.Body.Close()
 				if response.StatusCode == http.StatusOK {
